Carry draining beside the state of a member, and marks for whole data centres

A member that drains and is then suspected must stay known as draining, which one enumeration could not say. Marks let a data centre that is cut off be known as such by one short entry, where a suspicion of each of its members would make all of them refute at once after the heal.

--- a/include/acaciasill/control/messages.h
+++ b/include/acaciasill/control/messages.h
@@ -25,10 +25,9 @@
 // What is known of a member. At one incarnation a state later in this list replaces an earlier one.
 enum class member_state : std::uint8_t {
   alive,
-  draining, // Leaving: it takes no new work and runs until nothing is in flight.
-  suspect,  // It answered neither a probe nor an indirect one.
-  dead,     // It was suspected for too long.
-  left,     // It ended by its own will.
+  suspect, // It answered neither a probe nor an indirect one.
+  dead,    // It was suspected for too long.
+  left,    // It ended by its own will.
 };
 
 // One daemon and the backend server beside it.
@@ -46,7 +45,8 @@
   // Random bits chosen at each start of the process, so that two lives of one address differ.
   std::uint64_t start_nonce = 0;
   member_state state = member_state::alive;
-  // Whether the member is leaving; it stays set while others suspect the member.
+  // Whether the member takes no new work and runs until nothing is in flight. It is no state, so
+  // that it stays known while others suspect the member.
   bool draining = false;
   std::uint32_t slots = 0;
   std::uint32_t connections = 0;
@@ -98,6 +98,8 @@
 
 // Opens a comparison of records. The receiver answers each scope that differs by bucket_digests.
 struct sync_digest {
+  // The sender's data centre.
+  std::string data_centre;
   std::vector<scope_digest> scopes;
 
   bool operator==(const sync_digest&) const = default;
@@ -180,6 +182,15 @@
                                   bucket_digests, sync_records, page_request, page,
                                   configuration_query, configuration_offer, chunk_request, chunk>;
 
+// Whether a whole data centre can be reached from that of the sender. The higher epoch wins.
+struct data_centre_mark {
+  std::string data_centre;
+  std::uint64_t epoch = 0;
+  bool reachable = true;
+
+  bool operator==(const data_centre_mark&) const = default;
+};
+
 // One datagram. The address that it came from stands for the sender.
 struct datagram {
   // The sender's own incarnation and start nonce, by which the receiver notices a stale record.
@@ -188,6 +199,8 @@
   // The generation of the configuration that the sender has in force; 0 for none.
   std::uint64_t configuration_generation = 0;
   std::vector<member> updates;
+  // No more than max_scopes.
+  std::vector<data_centre_mark> marks;
   message_body body;
 
   bool operator==(const datagram&) const = default;
@@ -195,6 +208,7 @@
 
 // Upper bounds of the encoded size in bytes. The codec keeps within them; a unit test checks it.
 std::size_t encoded_bound(const member& record);
+std::size_t encoded_bound(const data_centre_mark& mark);
 std::size_t encoded_bound(const datagram& message);
 
 } // namespace acaciasill::control
--- a/include/acaciasill/control/node.h
+++ b/include/acaciasill/control/node.h
@@ -38,8 +38,7 @@
   // Between two probes of members that are held to be dead.
   support::milliseconds dead_retry_period{2000};
   // How long a record of a dead or left member is kept.
-  support::milliseconds dead_retention{7200000};
-  support::milliseconds left_retention{120000};
+  support::milliseconds gone_retention{7200000};
   // Between two reads of the configuration's head by a holder of that duty.
   support::milliseconds head_period{1000};
   // Between two looks of a duty holder at the table's rows of first contact.
@@ -50,6 +49,10 @@
   support::milliseconds chunk_timeout{400};
   // A longer gap between two steps means that the process was stopped.
   support::milliseconds pause_threshold{1500};
+  // How long a data centre may be silent before its members count as suspect.
+  support::milliseconds silence{5000};
+  // The shortest time between the begin of a shutdown and the end of the process.
+  support::milliseconds leave_spread{1000};
   // How long a fresh or resumed node asks before it goes on with what it has.
   support::milliseconds fresh_wait{3000};
 
@@ -228,7 +231,9 @@
   bool operator==(const publish_view&) const = default;
 };
 
-// Puts a configuration in force. Its digest has been checked; the generation only ever rises.
+// Puts a configuration in force. Its digest has been checked. The generation rises each time, but
+// for a repair: where the platform's head names another object for the generation in force, that
+// object replaces the one that a peer had offered.
 struct publish_configuration {
   std::uint64_t generation = 0;
   std::string digest;
--- a/lib/control/messages.cpp
+++ b/lib/control/messages.cpp
@@ -25,7 +25,7 @@
     return table_overhead + 16 + text_bound(body.target);
   }
   std::size_t operator()(const sync_digest& body) const {
-    std::size_t size = table_overhead + vector_overhead;
+    std::size_t size = table_overhead + vector_overhead + text_bound(body.data_centre);
     for (const auto& scope : body.scopes) {
       size += table_overhead + 24 + text_bound(scope.data_centre);
     }
@@ -62,11 +62,18 @@
          text_bound(record.data_centre) + text_bound(record.service);
 }
 
+std::size_t encoded_bound(const data_centre_mark& mark) {
+  return table_overhead + 24 + text_bound(mark.data_centre);
+}
+
 std::size_t encoded_bound(const datagram& message) {
   std::size_t size = datagram_fields + std::visit(body_bound{}, message.body);
   for (const auto& record : message.updates) {
     size += encoded_bound(record);
   }
+  for (const auto& mark : message.marks) {
+    size += encoded_bound(mark);
+  }
   return size;
 }
 
