Connect daemons by multiplexed links with typed outcomes

A link owns one connection to a peer, connects on demand and again after a jittered backoff, and ends each call exactly once. Whether a call is not_run or unknown follows from the place of its first byte in the outgoing stream: a call beyond what the kernel may have taken was not run, anything else is unknown.

--- a/include/acaciasill/net/peer_link.h
+++ b/include/acaciasill/net/peer_link.h
@@ -15,14 +15,17 @@
 
 namespace acaciasill::net {
 
-// Receives the one reply of a call. It runs on the link's I/O context, never inside send_call.
+// Receives the one reply of a call. It runs on the link's I/O context, never inside send_call or
+// cancel, and does not run any more once that context is destroyed.
 // Where no reply came, the link makes one:
 //   not_run with peer_unreachable: no byte of the call was written;
+//   not_run with peer_not_authenticated: the peer did not prove that it holds the shared key;
 //   not_run with peer_backlog: too much waits on the connection, so nothing was written;
 //   not_run with deadline_exceeded: the deadline passed before the call was written;
 //   not_run with cancelled: cancelled before the call was written;
 //   not_run with bad_request, body_too_large or frame_too_large: the call is over a limit;
-//   unknown with peer_lost, peer_stalled or peer_mismatch: the connection ended later;
+//   unknown with peer_lost, peer_stalled, peer_mismatch, frame_corrupt or frame_too_large: the
+//     connection ended later, for that reason;
 //   unknown with deadline_exceeded or cancelled: the peer was told to stop the call.
 using reply_callback = std::function<void(wire::call_reply)>;
 
@@ -58,10 +61,13 @@
   // outcome cancelled. Does nothing for a call that has ended.
   virtual void cancel(std::uint64_t correlation) = 0;
 
+  // Refuses further calls, and closes the connection once the present ones have ended.
+  virtual void retire() = 0;
+
   // Closes the connection, ends all calls, and refuses further ones.
   virtual void stop() = 0;
 
-  // The moment of the last call, for the pool's bound.
+  // The moment at which the last call was sent, for the pool's bound.
   virtual support::time_point last_used() const = 0;
 
   virtual const peer_link_counters& counters() const = 0;
--- a/include/acaciasill/net/peer_pool.h
+++ b/include/acaciasill/net/peer_pool.h
@@ -38,7 +38,7 @@
   // Gives a call up; does nothing where it has ended.
   static void cancel(const call_handle& handle);
 
-  // Ends the links to a peer that has left.
+  // Drops the links to a peer that has left; calls in flight still end in their own way.
   void forget(const peer_address& peer);
 
   // Ends all links.
@@ -61,7 +61,7 @@
 
   shard& shard_of_this_thread();
   std::shared_ptr<peer_link> link_for(shard& home, const peer_address& peer);
-  void drop_idle_links(shard& home);
+  static bool drop_idle_link(shard& home);
 
   peer_settings settings_;
   std::vector<std::unique_ptr<shard>> shards_;
--- /dev/null
+++ b/lib/net/peer_link.cpp
@@ -0,0 +1,461 @@
+#include "acaciasill/net/peer_link.h"
+
+#include <algorithm>
+#include <deque>
+#include <queue>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+#include <asio/dispatch.hpp>
+#include <asio/post.hpp>
+
+#include "acaciasill/net/peer_channel.h"
+#include "acaciasill/support/log.h"
+#include "acaciasill/support/random.h"
+#include "acaciasill/wire/codec.h"
+
+namespace acaciasill::net {
+namespace {
+
+using support::monotonic_now;
+using support::result_code;
+using support::time_point;
+using wire::outcome;
+
+// Finished calls whose deadlines may linger before they are swept out.
+constexpr std::size_t sweep_slack = 1024;
+
+// A call that waits for its reply.
+struct pending_call {
+  wire::request_id id;
+  time_point deadline;
+  reply_callback callback;
+  // Held until the connection is open.
+  std::unique_ptr<wire::call_request> unsent;
+  // The place of its first byte in the outgoing stream, once it was sent.
+  std::uint64_t place = 0;
+};
+
+// When a call's time ends; the earliest comes first in a heap.
+struct call_deadline {
+  time_point when;
+  std::uint64_t correlation = 0;
+
+  auto operator<=>(const call_deadline&) const = default;
+};
+
+using deadline_heap =
+    std::priority_queue<call_deadline, std::vector<call_deadline>, std::greater<>>;
+
+enum class link_state { idle, connecting, greeting, open, stopped };
+
+// How much of the backlog a call that waits for the connection takes.
+std::size_t size_of(const wire::call_request& request) {
+  return sizeof(request) + request.body.size();
+}
+
+wire::call_reply made_reply(std::uint64_t correlation, const wire::request_id& id, outcome end,
+                            result_code code) {
+  wire::call_reply reply;
+  reply.correlation = correlation;
+  reply.id = id;
+  reply.outcome = end;
+  reply.code = code;
+  reply.http_status = support::describe(code).http_status;
+  return reply;
+}
+
+class link_to_peer : public peer_link {
+public:
+  link_to_peer(asio::io_context& context, peer_address address, const peer_settings& settings)
+      : executor_(context.get_executor()), address_(std::move(address)), settings_(settings),
+        timer_(executor_), random_(std::random_device{}()) {}
+
+  std::uint64_t send_call(wire::call_request request, time_point deadline,
+                          reply_callback callback) override;
+  void cancel(std::uint64_t correlation) override;
+  void retire() override;
+  void stop() override;
+  time_point last_used() const override { return time_point(support::duration(last_used_.load())); }
+  const peer_link_counters& counters() const override { return counters_; }
+
+private:
+  std::shared_ptr<link_to_peer> self() {
+    return std::static_pointer_cast<link_to_peer>(shared_from_this());
+  }
+
+  void start_call(wire::call_request request, time_point deadline, reply_callback callback);
+  void finish_later(std::uint64_t correlation, pending_call call, outcome end, result_code code);
+  pending_call take(std::unordered_map<std::uint64_t, pending_call>::iterator call);
+  void give_up(std::uint64_t correlation, result_code code);
+  void write_call(pending_call& call, wire::call_request& request);
+
+  void connect();
+  void handle_connected(const asio::error_code& error);
+  void handle_frame(wire::frame frame);
+  void handle_challenge(const wire::challenge& challenge);
+  void handle_reply(wire::call_reply reply);
+  void handle_closed(result_code reason);
+  void fail_connecting(result_code reason);
+  void begin_backoff();
+
+  void arm_timer();
+  void handle_timer();
+  void sweep_deadlines();
+
+  peer_executor executor_;
+  peer_address address_;
+  peer_settings settings_;
+  peer_link_counters counters_;
+  std::atomic<std::uint64_t> next_correlation_{1};
+  std::atomic<support::duration::rep> last_used_{0};
+
+  link_state state_ = link_state::idle;
+  bool retired_ = false;
+  std::unique_ptr<peer_socket> socket_;
+  std::shared_ptr<peer_channel> channel_;
+  std::string nonce_;
+  std::uint64_t attempt_ = 0;
+  time_point connect_deadline_{};
+  time_point backoff_until_{};
+  support::duration backoff_{0};
+
+  std::unordered_map<std::uint64_t, pending_call> calls_;
+  std::deque<std::uint64_t> unsent_;
+  std::size_t unsent_bytes_ = 0;
+  std::uint64_t last_sent_ = 0;
+  deadline_heap deadlines_;
+  peer_timer timer_;
+  time_point armed_until_ = time_point::max();
+  support::random_source random_;
+};
+
+std::uint64_t link_to_peer::send_call(wire::call_request request, time_point deadline,
+                                      reply_callback callback) {
+  const std::uint64_t correlation = next_correlation_.fetch_add(1, std::memory_order_relaxed);
+  request.correlation = correlation;
+  counters_.in_flight.fetch_add(1, std::memory_order_relaxed);
+  asio::dispatch(executor_, [link = self(), request = std::move(request), deadline,
+                             callback = std::move(callback)]() mutable {
+    link->start_call(std::move(request), deadline, std::move(callback));
+  });
+  return correlation;
+}
+
+void link_to_peer::cancel(std::uint64_t correlation) {
+  asio::dispatch(executor_, [link = self(), correlation] {
+    link->give_up(correlation, result_code::cancelled);
+  });
+}
+
+void link_to_peer::retire() {
+  asio::dispatch(executor_, [link = self()] {
+    link->retired_ = true;
+    if (link->calls_.empty()) {
+      link->stop();
+    }
+  });
+}
+
+void link_to_peer::stop() {
+  asio::dispatch(executor_, [link = self()] {
+    if (link->channel_) {
+      link->channel_->close(result_code::peer_lost);
+    }
+    if (link->state_ == link_state::connecting) {
+      link->fail_connecting(result_code::peer_unreachable);
+    }
+    link->state_ = link_state::stopped;
+    link->timer_.cancel();
+  });
+}
+
+void link_to_peer::start_call(wire::call_request request, time_point deadline,
+                              reply_callback callback) {
+  const std::uint64_t correlation = request.correlation;
+  const time_point now = monotonic_now();
+  last_used_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+  pending_call call{request.id, deadline, std::move(callback), nullptr, 0};
+  const auto refuse = [&](result_code code) {
+    finish_later(correlation, std::move(call), outcome::not_run, code);
+  };
+  if (const auto status = wire::check_limits(request); !status.ok()) {
+    return refuse(support::code_of(status));
+  }
+  if (deadline <= now) {
+    return refuse(result_code::deadline_exceeded);
+  }
+  const bool is_down = state_ == link_state::idle && now < backoff_until_;
+  if (state_ == link_state::stopped || retired_ || is_down) {
+    return refuse(result_code::peer_unreachable);
+  }
+  const bool has_room = state_ == link_state::open ? channel_->has_room()
+                                                   : unsent_bytes_ < settings_.max_backlog_bytes;
+  if (!has_room || calls_.size() >= settings_.max_calls) {
+    return refuse(result_code::peer_backlog);
+  }
+  sweep_deadlines();
+  deadlines_.push({deadline, correlation});
+  pending_call& kept = calls_.emplace(correlation, std::move(call)).first->second;
+  if (state_ == link_state::open) {
+    write_call(kept, request);
+  } else {
+    unsent_.push_back(correlation);
+    unsent_bytes_ += size_of(request);
+    kept.unsent = std::make_unique<wire::call_request>(std::move(request));
+  }
+  if (state_ == link_state::idle) {
+    connect();
+  }
+  arm_timer();
+}
+
+void link_to_peer::finish_later(std::uint64_t correlation, pending_call call, outcome end,
+                                result_code code) {
+  counters_.in_flight.fetch_sub(1, std::memory_order_relaxed);
+  asio::post(executor_, [callback = std::move(call.callback),
+                         reply = made_reply(correlation, call.id, end, code)]() mutable {
+    callback(std::move(reply));
+  });
+}
+
+pending_call link_to_peer::take(std::unordered_map<std::uint64_t, pending_call>::iterator place) {
+  pending_call call = std::move(place->second);
+  calls_.erase(place);
+  if (call.unsent) {
+    unsent_bytes_ -= size_of(*call.unsent);
+  }
+  if (retired_ && calls_.empty()) {
+    stop();
+  }
+  return call;
+}
+
+void link_to_peer::give_up(std::uint64_t correlation, result_code code) {
+  const auto place = calls_.find(correlation);
+  if (place == calls_.end()) {
+    return;
+  }
+  const bool was_sent = place->second.unsent == nullptr;
+  if (was_sent && channel_) {
+    channel_->send(wire::call_cancel{.correlation = correlation, .id = place->second.id});
+  }
+  finish_later(correlation, take(place), was_sent ? outcome::unknown : outcome::not_run, code);
+}
+
+void link_to_peer::write_call(pending_call& call, wire::call_request& request) {
+  const auto left = call.deadline - monotonic_now();
+  const auto left_us = std::chrono::duration_cast<support::microseconds>(left).count();
+  request.time_left_us = static_cast<std::uint64_t>(std::max<std::int64_t>(left_us, 0));
+  call.place = channel_->send(request);
+  last_sent_ = std::max(last_sent_, request.correlation);
+}
+
+void link_to_peer::connect() {
+  state_ = link_state::connecting;
+  connect_deadline_ = monotonic_now() + settings_.connect_timeout;
+  socket_ = std::make_unique<peer_socket>(executor_);
+  // An attempt that timed out may still report; its number tells it from the present one.
+  socket_->async_connect(address_,
+                         [link = self(), attempt = ++attempt_](const asio::error_code& error) {
+                           if (attempt == link->attempt_) {
+                             link->handle_connected(error);
+                           }
+                         });
+}
+
+void link_to_peer::handle_connected(const asio::error_code& error) {
+  if (state_ != link_state::connecting) {
+    return;
+  }
+  if (error) {
+    fail_connecting(result_code::peer_unreachable);
+    return;
+  }
+  state_ = link_state::greeting;
+  channel_ = std::make_shared<peer_channel>(std::move(*socket_), settings_);
+  socket_.reset();
+  // The channel does not keep the link alive; its own pending operations keep the channel alive.
+  const std::weak_ptr<link_to_peer> weak = self();
+  const auto* channel = channel_.get();
+  channel_->start({[weak, channel](wire::frame frame) {
+                     if (const auto link = weak.lock(); link && link->channel_.get() == channel) {
+                       link->handle_frame(std::move(frame));
+                     }
+                   },
+                   [weak, channel](result_code reason) {
+                     if (const auto link = weak.lock(); link && link->channel_.get() == channel) {
+                       link->handle_closed(reason);
+                     }
+                   }});
+  nonce_ = wire::make_nonce();
+  channel_->send(wire::hello{.nonce = nonce_});
+}
+
+void link_to_peer::handle_frame(wire::frame frame) {
+  if (auto* reply = std::get_if<wire::call_reply>(&frame); reply && state_ == link_state::open) {
+    handle_reply(std::move(*reply));
+    return;
+  }
+  const auto* challenge = std::get_if<wire::challenge>(&frame);
+  if (challenge && state_ == link_state::greeting) {
+    handle_challenge(*challenge);
+    return;
+  }
+  channel_->close(result_code::frame_corrupt);
+}
+
+void link_to_peer::handle_challenge(const wire::challenge& challenge) {
+  const auto& key = settings_.peer_key;
+  const auto expected = wire::accepting_tag(key, nonce_, challenge.nonce);
+  if (challenge.version != wire::protocol_version || !wire::tag_matches(expected, challenge.tag)) {
+    support::write_log(support::log_level::warning, "peer", "a peer did not prove the shared key");
+    channel_->close(result_code::peer_not_authenticated);
+    return;
+  }
+  channel_->send(wire::proof{.tag = wire::connecting_tag(key, nonce_, challenge.nonce)});
+  channel_->accept_all_frames();
+  state_ = link_state::open;
+  backoff_ = support::duration(0);
+  counters_.connects.fetch_add(1, std::memory_order_relaxed);
+  for (const std::uint64_t correlation : std::exchange(unsent_, {})) {
+    if (const auto call = calls_.find(correlation); call != calls_.end()) {
+      const auto request = std::exchange(call->second.unsent, nullptr);
+      unsent_bytes_ -= size_of(*request);
+      write_call(call->second, *request);
+    }
+  }
+}
+
+void link_to_peer::handle_reply(wire::call_reply reply) {
+  const auto place = calls_.find(reply.correlation);
+  if (place == calls_.end() && reply.correlation <= last_sent_) {
+    counters_.late_replies.fetch_add(1, std::memory_order_relaxed);
+    return;
+  }
+  if (place == calls_.end() || place->second.unsent || place->second.id != reply.id) {
+    counters_.mismatches.fetch_add(1, std::memory_order_relaxed);
+    support::write_log(support::log_level::error, "peer", "a reply does not belong to its call");
+    channel_->close(result_code::peer_mismatch);
+    return;
+  }
+  counters_.in_flight.fetch_sub(1, std::memory_order_relaxed);
+  const auto call = take(place);
+  call.callback(std::move(reply));
+}
+
+void link_to_peer::handle_closed(result_code reason) {
+  const auto channel = std::exchange(channel_, nullptr);
+  if (state_ != link_state::open) {
+    const bool is_refused = reason == result_code::peer_not_authenticated;
+    fail_connecting(is_refused ? reason : result_code::peer_unreachable);
+    return;
+  }
+  state_ = link_state::idle;
+  if (!calls_.empty()) {
+    counters_.connections_lost.fetch_add(1, std::memory_order_relaxed);
+    begin_backoff();
+  }
+  const std::uint64_t written = channel->possibly_written();
+  for (auto& [correlation, call] : std::exchange(calls_, {})) {
+    if (call.place >= written) {
+      finish_later(correlation, std::move(call), outcome::not_run, result_code::peer_unreachable);
+      continue;
+    }
+    finish_later(correlation, std::move(call), outcome::unknown, reason);
+  }
+  deadlines_ = {};
+}
+
+void link_to_peer::fail_connecting(result_code reason) {
+  counters_.connect_failures.fetch_add(1, std::memory_order_relaxed);
+  state_ = link_state::idle;
+  socket_.reset();
+  begin_backoff();
+  for (auto& [correlation, call] : std::exchange(calls_, {})) {
+    finish_later(correlation, std::move(call), outcome::not_run, reason);
+  }
+  unsent_.clear();
+  unsent_bytes_ = 0;
+  deadlines_ = {};
+}
+
+void link_to_peer::begin_backoff() {
+  const support::duration least = settings_.min_backoff;
+  const support::duration most = settings_.max_backoff;
+  backoff_ = std::clamp(backoff_ * 2, least, most);
+  const double part = 0.5 + support::uniform_unit(random_) / 2;
+  const auto pause = static_cast<double>(backoff_.count()) * part;
+  backoff_until_ = monotonic_now() + support::duration(static_cast<std::int64_t>(pause));
+}
+
+void link_to_peer::arm_timer() {
+  time_point target = last_used() + settings_.idle_timeout;
+  if (!deadlines_.empty()) {
+    target = deadlines_.top().when;
+  }
+  if (state_ == link_state::connecting || state_ == link_state::greeting) {
+    target = std::min(target, connect_deadline_);
+  }
+  if (target >= armed_until_) {
+    return;
+  }
+  armed_until_ = target;
+  timer_.expires_at(target);
+  timer_.async_wait([link = self()](const asio::error_code& error) {
+    if (!error && link->state_ != link_state::stopped) {
+      link->handle_timer();
+    }
+  });
+}
+
+void link_to_peer::handle_timer() {
+  armed_until_ = time_point::max();
+  const time_point now = monotonic_now();
+  const bool is_connecting = state_ == link_state::connecting || state_ == link_state::greeting;
+  if (is_connecting && connect_deadline_ <= now) {
+    if (channel_) {
+      channel_->close(result_code::peer_stalled);
+    } else {
+      fail_connecting(result_code::peer_unreachable);
+    }
+  }
+  while (!deadlines_.empty() && deadlines_.top().when <= now) {
+    const auto due = deadlines_.top();
+    deadlines_.pop();
+    give_up(due.correlation, result_code::deadline_exceeded);
+  }
+  while (!deadlines_.empty() && !calls_.contains(deadlines_.top().correlation)) {
+    deadlines_.pop();
+  }
+  const bool is_idle = calls_.empty() && last_used() + settings_.idle_timeout <= now;
+  if (is_idle && channel_) {
+    channel_->close(result_code::peer_lost);
+  }
+  if (state_ != link_state::idle || !deadlines_.empty()) {
+    arm_timer();
+  }
+}
+
+// Calls mostly end before their deadlines, which are then dropped here rather than one by one.
+void link_to_peer::sweep_deadlines() {
+  if (deadlines_.size() < 2 * calls_.size() + sweep_slack) {
+    return;
+  }
+  std::vector<call_deadline> alive;
+  alive.reserve(calls_.size());
+  for (const auto& [correlation, call] : calls_) {
+    alive.push_back({call.deadline, correlation});
+  }
+  deadlines_ = deadline_heap(std::greater<>(), std::move(alive));
+}
+
+} // namespace
+
+std::shared_ptr<peer_link> peer_link::create(asio::io_context& context, peer_address address,
+                                             const peer_settings& settings) {
+  return std::make_shared<link_to_peer>(context, std::move(address), settings);
+}
+
+} // namespace acaciasill::net
--- /dev/null
+++ b/unittests/net/peer_link_test.cpp
@@ -0,0 +1,373 @@
+#include "acaciasill/net/peer_link.h"
+
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+
+#include "acaciasill/net/peer_listener.h"
+#include "net/peer_fixture.h"
+
+namespace {
+
+using namespace acaciasill;
+using namespace acaciasill::tests;
+using support::result_code;
+using wire::outcome;
+
+// A link to a listener in the same context.
+struct pair_of_peers {
+  asio::io_context context;
+  call_box box;
+  std::unique_ptr<net::peer_listener> listener;
+  std::shared_ptr<net::peer_link> link;
+  reply_box replies;
+
+  explicit pair_of_peers(const net::peer_settings& settings = keyed_settings())
+      : pair_of_peers(settings, settings) {}
+  pair_of_peers(const net::peer_settings& accepting, const net::peer_settings& connecting) {
+    listener =
+        net::peer_listener::listen({&context}, loopback(), accepting, box.handlers()).value();
+    link = net::peer_link::create(context, listener->address(), connecting);
+  }
+  ~pair_of_peers() { link->stop(); }
+
+  bool run_until(const std::function<bool()>& condition) {
+    return tests::run_until(context, condition);
+  }
+  std::uint64_t send(std::uint64_t id) {
+    return link->send_call(request_with(id), far_deadline(), replies.callback());
+  }
+  bool has_replies(std::size_t count) {
+    return run_until([&] { return replies.replies.size() >= count; });
+  }
+  bool has_calls(std::size_t count) {
+    return run_until([&] { return box.calls.size() >= count; });
+  }
+};
+
+// A link to a peer that the test plays by hand.
+struct link_to_raw_peer {
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor{context, loopback()};
+  std::shared_ptr<net::peer_link> link;
+  raw_end peer{context};
+  reply_box replies;
+
+  explicit link_to_raw_peer(const net::peer_settings& settings = open_settings())
+      : link(net::peer_link::create(context, acceptor.local_endpoint(), settings)) {}
+  ~link_to_raw_peer() { link->stop(); }
+
+  // Sends one call and plays the peer up to its arrival.
+  wire::call_request open_with(wire::call_request request) {
+    link->send_call(std::move(request), far_deadline(), replies.callback());
+    peer.accept(acceptor);
+    peer.greet();
+    return std::get<wire::call_request>(*peer.read());
+  }
+  const wire::call_reply& reply(std::size_t index = 0) {
+    REQUIRE(run_until(context, [&] { return replies.replies.size() > index; }));
+    return replies.replies[index];
+  }
+};
+
+wire::call_reply completed(std::string body) {
+  wire::call_reply reply;
+  reply.outcome = outcome::completed;
+  reply.code = result_code::ok;
+  reply.body = std::move(body);
+  return reply;
+}
+
+} // namespace
+
+TEST_CASE("replies that come in another order reach their own calls", "[net]") {
+  pair_of_peers peers;
+  constexpr std::size_t count = 200;
+  std::vector<std::string> bodies(count);
+  std::size_t replies = 0;
+  for (std::size_t index = 0; index < count; ++index) {
+    peers.link->send_call(request_with(index, std::to_string(index)), far_deadline(),
+                          [&, index](const wire::call_reply& reply) {
+                            bodies[index] = reply.body;
+                            ++replies;
+                          });
+  }
+  REQUIRE(peers.has_calls(count));
+  for (auto call = peers.box.calls.rbegin(); call != peers.box.calls.rend(); ++call) {
+    call->respond(completed(call->request.body));
+  }
+  REQUIRE(peers.run_until([&] { return replies == count; }));
+  for (std::size_t index = 0; index < count; ++index) {
+    CHECK(bodies[index] == std::to_string(index));
+  }
+  CHECK(peers.listener->counters().accepted == 1);
+}
+
+TEST_CASE("the time left travels with the call", "[net]") {
+  pair_of_peers peers;
+  peers.send(1);
+  REQUIRE(peers.has_calls(1));
+  const auto left = support::microseconds(peers.box.calls[0].request.time_left_us);
+  CHECK(left <= patience);
+  CHECK(left > support::microseconds(0));
+}
+
+TEST_CASE("a peer that cannot be reached did not run the call", "[net]") {
+  asio::io_context context;
+  asio::ip::tcp::acceptor closed(context, loopback());
+  const auto address = closed.local_endpoint();
+  closed.close();
+  const auto link = net::peer_link::create(context, address, keyed_settings());
+  reply_box box;
+  link->send_call(request_with(1), far_deadline(), box.callback());
+  REQUIRE(run_until(context, [&] { return box.replies.size() == 1; }));
+  CHECK(box.replies[0].outcome == outcome::not_run);
+  CHECK(box.replies[0].code == result_code::peer_unreachable);
+  CHECK(link->counters().in_flight == 0);
+  link->stop();
+}
+
+TEST_CASE("peers with different keys refuse each other before a call is sent", "[net]") {
+  pair_of_peers peers(keyed_settings("one"), keyed_settings("other"));
+  peers.send(1);
+  REQUIRE(peers.has_replies(1));
+  CHECK(peers.replies.replies[0].outcome == outcome::not_run);
+  CHECK(peers.replies.replies[0].code == result_code::peer_not_authenticated);
+  CHECK(peers.box.calls.empty());
+}
+
+TEST_CASE("a link without a key does not reach a listener with one", "[net]") {
+  pair_of_peers peers(keyed_settings(), open_settings());
+  peers.send(1);
+  REQUIRE(peers.has_replies(1));
+  CHECK(peers.replies.replies[0].outcome == outcome::not_run);
+  CHECK(peers.box.calls.empty());
+}
+
+TEST_CASE("a call that was sent is unknown once the connection is lost", "[net]") {
+  link_to_raw_peer test;
+  test.open_with(request_with(1));
+  test.peer.close();
+  CHECK(test.reply().outcome == outcome::unknown);
+  CHECK(test.reply().code == result_code::peer_lost);
+}
+
+TEST_CASE("a call that waits behind an unread one is not run when the connection is lost",
+          "[net]") {
+  link_to_raw_peer test;
+  test.open_with(request_with(1));
+  // The kernel's buffers are smaller than these bodies, so the second batch is never begun.
+  for (std::uint64_t id = 2; id <= 4; ++id) {
+    test.link->send_call(request_with(id, std::string(wire::max_body_bytes, 'b')), far_deadline(),
+                         test.replies.callback());
+    for (int turn = 0; turn < 100; ++turn) {
+      test.context.restart();
+      test.context.poll();
+    }
+  }
+  test.peer.close();
+  REQUIRE(run_until(test.context, [&] { return test.replies.replies.size() == 4; }));
+  std::size_t unknown = 0;
+  std::size_t not_run = 0;
+  for (const auto& reply : test.replies.replies) {
+    unknown += reply.outcome == outcome::unknown && reply.code == result_code::peer_lost ? 1 : 0;
+    not_run += reply.outcome == outcome::not_run && reply.code == result_code::peer_unreachable;
+  }
+  CHECK(unknown == 2);
+  CHECK(not_run == 2);
+}
+
+TEST_CASE("too much that waits is refused and not run", "[net]") {
+  auto settings = open_settings();
+  settings.max_backlog_bytes = 1024;
+  link_to_raw_peer test(settings);
+  test.open_with(request_with(1));
+  for (std::uint64_t id = 2; id <= 4; ++id) {
+    test.link->send_call(request_with(id, std::string(wire::max_body_bytes, 'b')), far_deadline(),
+                         test.replies.callback());
+  }
+  CHECK(test.reply().outcome == outcome::not_run);
+  CHECK(test.reply().code == result_code::peer_backlog);
+}
+
+TEST_CASE("too many calls at once are refused and not run", "[net]") {
+  auto settings = keyed_settings();
+  settings.max_calls = 2;
+  pair_of_peers peers(settings);
+  peers.send(1);
+  peers.send(2);
+  peers.send(3);
+  REQUIRE(peers.has_replies(1));
+  CHECK(peers.replies.replies[0].outcome == outcome::not_run);
+  CHECK(peers.replies.replies[0].code == result_code::peer_backlog);
+  CHECK(peers.replies.replies[0].id == request_with(3).id);
+}
+
+TEST_CASE("a call over a limit is not sent", "[net]") {
+  pair_of_peers peers;
+  peers.link->send_call(request_with(1, std::string(wire::max_body_bytes + 1, 'b')), far_deadline(),
+                        peers.replies.callback());
+  REQUIRE(peers.has_replies(1));
+  CHECK(peers.replies.replies[0].outcome == outcome::not_run);
+  CHECK(peers.replies.replies[0].code == result_code::body_too_large);
+}
+
+TEST_CASE("a deadline cancels the call, and its late reply is dropped", "[net]") {
+  pair_of_peers peers;
+  peers.send(1);
+  REQUIRE(peers.has_calls(1));
+  peers.link->send_call(request_with(2), support::monotonic_now() + std::chrono::milliseconds(50),
+                        peers.replies.callback());
+  REQUIRE(peers.has_calls(2));
+  REQUIRE(peers.has_replies(1));
+  CHECK(peers.replies.replies[0].outcome == outcome::unknown);
+  CHECK(peers.replies.replies[0].code == result_code::deadline_exceeded);
+  REQUIRE(peers.run_until([&] { return !peers.box.cancelled.empty(); }));
+  CHECK(peers.box.cancelled[0] == peers.box.calls[1].key);
+  peers.box.calls[1].respond(completed("late"));
+  peers.box.calls[0].respond(completed("mine"));
+  REQUIRE(peers.has_replies(2));
+  CHECK(peers.replies.replies[1].body == "mine");
+  CHECK(peers.link->counters().connects == 1);
+}
+
+TEST_CASE("a deadline that passed already is not run", "[net]") {
+  pair_of_peers peers;
+  peers.link->send_call(request_with(1), support::monotonic_now(), peers.replies.callback());
+  REQUIRE(peers.has_replies(1));
+  CHECK(peers.replies.replies[0].outcome == outcome::not_run);
+  CHECK(peers.replies.replies[0].code == result_code::deadline_exceeded);
+}
+
+TEST_CASE("a cancelled call ends once and the peer is told", "[net]") {
+  pair_of_peers peers;
+  const auto correlation = peers.send(1);
+  REQUIRE(peers.has_calls(1));
+  peers.link->cancel(correlation);
+  peers.link->cancel(correlation);
+  REQUIRE(peers.run_until([&] { return !peers.box.cancelled.empty(); }));
+  REQUIRE(peers.has_replies(1));
+  CHECK(peers.replies.replies.size() == 1);
+  CHECK(peers.replies.replies[0].code == result_code::cancelled);
+  CHECK(peers.replies.replies[0].outcome == outcome::unknown);
+}
+
+TEST_CASE("a call that is cancelled before the connection is open is not run", "[net]") {
+  pair_of_peers peers;
+  peers.link->cancel(peers.send(1));
+  REQUIRE(peers.has_replies(1));
+  CHECK(peers.replies.replies[0].outcome == outcome::not_run);
+  peers.send(2);
+  REQUIRE(peers.has_calls(1));
+  CHECK(peers.box.calls[0].request.id == request_with(2).id);
+}
+
+TEST_CASE("a late reply after a cancellation crosses in flight and is dropped", "[net]") {
+  link_to_raw_peer test;
+  const auto request = test.open_with(request_with(1));
+  test.link->cancel(request.correlation);
+  auto late = completed("late");
+  late.correlation = request.correlation;
+  late.id = request.id;
+  test.peer.write(wire::encode(late));
+  REQUIRE(run_until(test.context, [&] { return test.link->counters().late_replies == 1; }));
+  CHECK(test.reply().code == result_code::cancelled);
+  CHECK(test.replies.replies.size() == 1);
+}
+
+TEST_CASE("a reply with another id closes the connection", "[net]") {
+  link_to_raw_peer test;
+  const auto request = test.open_with(request_with(1));
+  auto wrong = completed("not yours");
+  wrong.correlation = request.correlation;
+  wrong.id = {.high = 9, .low = 9};
+  test.peer.write(wire::encode(wrong));
+  CHECK(test.reply().outcome == outcome::unknown);
+  CHECK(test.reply().code == result_code::peer_mismatch);
+  CHECK(test.reply().body.empty());
+  CHECK(test.peer.is_closed());
+}
+
+TEST_CASE("a reply to a call that was never sent closes the connection", "[net]") {
+  link_to_raw_peer test;
+  const auto request = test.open_with(request_with(1));
+  auto wrong = completed("to nobody");
+  wrong.correlation = request.correlation + 1;
+  test.peer.write(wire::encode(wrong));
+  CHECK(test.reply().code == result_code::peer_mismatch);
+}
+
+TEST_CASE("a peer that stops half-way through a frame is given up", "[net]") {
+  auto settings = open_settings();
+  settings.stall_timeout = support::milliseconds(40);
+  link_to_raw_peer test(settings);
+  test.open_with(request_with(1));
+  test.peer.write(wire::encode(completed("half")).substr(0, 20));
+  CHECK(test.reply().outcome == outcome::unknown);
+  CHECK(test.reply().code == result_code::peer_stalled);
+}
+
+TEST_CASE("a peer that never answers the greeting did not run the call", "[net]") {
+  auto settings = open_settings();
+  settings.connect_timeout = support::milliseconds(40);
+  link_to_raw_peer test(settings);
+  test.link->send_call(request_with(1), far_deadline(), test.replies.callback());
+  CHECK(test.reply().outcome == outcome::not_run);
+  CHECK(test.reply().code == result_code::peer_unreachable);
+}
+
+TEST_CASE("corrupt bytes from the peer end its calls as unknown", "[net]") {
+  link_to_raw_peer test;
+  test.open_with(request_with(1));
+  test.peer.write(std::string("\x20\0\0\0", 4) + std::string(32, 'x'));
+  CHECK(test.reply().outcome == outcome::unknown);
+  CHECK(test.reply().code == result_code::frame_corrupt);
+}
+
+TEST_CASE("a link connects again after its connection was lost", "[net]") {
+  link_to_raw_peer test;
+  const auto first = test.open_with(request_with(1));
+  test.peer.close();
+  test.reply();
+  raw_end again(test.context);
+  // Calls during the pause after a failure are refused at once, so this sends until one leaves.
+  REQUIRE(run_until(test.context, [&] {
+    test.link->send_call(request_with(2), far_deadline(), test.replies.callback());
+    test.context.poll();
+    asio::ip::tcp::socket socket(test.context);
+    asio::error_code error;
+    test.acceptor.accept(socket, error);
+    return !error;
+  }));
+  for (std::size_t index = 1; index < test.replies.replies.size(); ++index) {
+    CHECK(test.replies.replies[index].outcome == outcome::not_run);
+  }
+}
+
+TEST_CASE("an idle link closes its connection and opens it again for the next call", "[net]") {
+  auto settings = keyed_settings();
+  settings.idle_timeout = support::milliseconds(30);
+  pair_of_peers peers(settings);
+  for (std::uint64_t id = 1; id <= 2; ++id) {
+    peers.send(id);
+    REQUIRE(peers.has_calls(id));
+    peers.box.calls.back().respond(completed("done"));
+    REQUIRE(peers.has_replies(id));
+    CHECK(peers.replies.replies.back().outcome == outcome::completed);
+    REQUIRE(peers.run_until([&] { return peers.listener->counters().connections == 0; }));
+  }
+  CHECK(peers.link->counters().connects == 2);
+}
+
+TEST_CASE("a retired link lets its calls end and takes no more", "[net]") {
+  pair_of_peers peers;
+  peers.send(1);
+  REQUIRE(peers.has_calls(1));
+  peers.link->retire();
+  peers.send(2);
+  REQUIRE(peers.has_replies(1));
+  CHECK(peers.replies.replies[0].outcome == outcome::not_run);
+  peers.box.calls[0].respond(completed("whole"));
+  REQUIRE(peers.has_replies(2));
+  CHECK(peers.replies.replies[1].body == "whole");
+  CHECK(peers.run_until([&] { return peers.listener->counters().connections == 0; }));
+}
