Read, check, serialise and compile configuration sets

One list of fields with their ranges (object_fields.h) drives the YAML reader, the canonical JSON and its parser, so that they cannot disagree.

The canonical JSON leaves out generation and revision, so that equal content has one digest; it holds every field, so that a later change of a default does not change the meaning of bytes that are already published.

A call that no route names counts as idempotent only by its HTTP method, and a route must always say whether it is, since a wrong default would run a call twice.

--- /dev/null
+++ b/include/acaciasill/model/object_fields.h
@@ -0,0 +1,124 @@
+#ifndef ACACIASILL_MODEL_OBJECT_FIELDS_H
+#define ACACIASILL_MODEL_OBJECT_FIELDS_H
+
+#include <cstdint>
+#include <string_view>
+
+#include "acaciasill/model/configuration.h"
+#include "acaciasill/model/settings_reader.h"
+
+// The one list of every object's fields with their ranges. Visitors read them from YAML, write them
+// as JSON and read them back, so that the three never disagree.
+namespace acaciasill::model {
+
+// The kinds of objects in the order in which a set lists them.
+enum class object_kind : std::uint8_t {
+  data_centre,
+  organisation,
+  priority,
+  limits,
+  service,
+  route,
+  caller_policy,
+};
+
+// The kind as it is written after "kind:".
+constexpr std::string_view kind_name(object_kind kind) {
+  constexpr std::string_view names[] = {"data_centre", "organisation", "priority",     "limits",
+                                        "service",     "route",        "caller_policy"};
+  return names[static_cast<std::size_t>(kind)];
+}
+
+inline constexpr double min_weight = 0.001;
+inline constexpr double max_weight = 1000.0;
+inline constexpr double max_retry_ratio = 1.0;
+inline constexpr std::int64_t max_spare_attempts = 100;
+inline constexpr std::int64_t max_subset_size = 1000;
+inline constexpr std::int64_t max_slots = 100000;
+inline constexpr std::int64_t max_connections = 1000000;
+inline constexpr std::int64_t max_expected_upstreams = 100000;
+inline constexpr support::milliseconds min_time_span{1};
+inline constexpr support::milliseconds max_queue_time{60000};
+inline constexpr support::milliseconds max_deadline{600000};
+
+template <typename Visitor>
+void visit_fields(Visitor& visitor, data_centre& object) {
+  visitor.text("name", object.name, presence::required);
+  visitor.text("region", object.region, presence::required);
+}
+
+template <typename Visitor>
+void visit_fields(Visitor& visitor, organisation& object) {
+  visitor.text("name", object.name, presence::required);
+  visitor.number("guaranteed_share", object.guaranteed_share, 0.0, 1.0);
+  visitor.number("weight", object.weight, min_weight, max_weight);
+}
+
+template <typename Visitor>
+void visit_fields(Visitor& visitor, priority_class& object) {
+  visitor.text("name", object.name, presence::required);
+  visitor.integer("rank", object.rank, 0, max_priority_rank, presence::required);
+}
+
+template <typename Visitor>
+void visit_fields(Visitor& visitor, limits& object) {
+  visitor.text("name", object.name, presence::required);
+  visitor.time_span("queue_bound_ms", object.queue_bound, min_time_span, max_queue_time);
+  visitor.time_span("queue_target_ms", object.queue_target, min_time_span, max_queue_time);
+  visitor.time_span("default_deadline_ms", object.default_deadline, min_time_span, max_deadline);
+  visitor.integer("spare_attempts", object.spare_attempts, 0, max_spare_attempts);
+  visitor.number("retry_ratio", object.retry_ratio, 0.0, max_retry_ratio);
+  visitor.integer("subset_size", object.subset_size, 1, max_subset_size);
+  visitor.number("ejection_cap", object.ejection_cap, 0.0, 1.0);
+  visitor.time_span("slow_start_ms", object.slow_start, support::milliseconds(0), max_deadline);
+  visitor.number("threshold_step", object.threshold_step, 0.001, 1.0);
+  visitor.number("spill_cap", object.spill_cap, 0.0, 1.0);
+}
+
+template <typename Visitor>
+void visit_fields(Visitor& visitor, service& object) {
+  visitor.text("name", object.name, presence::required);
+  visitor.text("limits", object.limits, presence::required);
+  visitor.text("default_priority", object.default_priority, presence::required);
+  visitor.integer("slots", object.slots, 1, max_slots);
+  visitor.integer("connections", object.connections, 1, max_connections);
+  visitor.integer("expected_upstreams", object.expected_upstreams, 1, max_expected_upstreams);
+  visitor.text_list("calls", object.calls);
+}
+
+template <typename Visitor>
+void visit_fields(Visitor& visitor, route& object) {
+  visitor.text("name", object.name, presence::required);
+  visitor.text("service", object.service, presence::required);
+  visitor.text_list("methods", object.methods);
+  visitor.text("path_prefix", object.path_prefix);
+  visitor.text("priority", object.priority, presence::required);
+  // Never left to a default, since a wrong guess would run a call twice.
+  visitor.flag("idempotent", object.idempotent, presence::required);
+  visitor.flag("claim_key", object.claim_key);
+}
+
+template <typename Visitor>
+void visit_fields(Visitor& visitor, caller_policy& object) {
+  visitor.text("name", object.name, presence::required);
+  visitor.flag("may_set_organisation", object.may_set_organisation);
+  visitor.flag("may_set_priority", object.may_set_priority);
+  visitor.flag("may_set_retry_budget", object.may_set_retry_budget);
+  visitor.text("default_organisation", object.default_organisation);
+}
+
+// Calls the function with each kind and the set's list of its objects.
+template <typename Set, typename Function>
+void for_each_kind(Set& set, Function&& function) {
+  function(object_kind::data_centre, set.data_centres);
+  function(object_kind::organisation, set.organisations);
+  function(object_kind::priority, set.priorities);
+  function(object_kind::limits, set.limit_sets);
+  function(object_kind::service, set.services);
+  function(object_kind::route, set.routes);
+  function(object_kind::caller_policy, set.caller_policies);
+}
+
+} // namespace acaciasill::model
+
+#endif
--- a/include/acaciasill/model/settings_reader.h
+++ b/include/acaciasill/model/settings_reader.h
@@ -42,6 +42,14 @@
 // One line for people: "file:line: object: key: ACS-1003 a key is not known: text".
 std::string format_finding(const finding& problem);
 
+// Where a key stands in its file.
+struct key_position {
+  std::string key;
+  int line = 0;
+
+  bool operator==(const key_position&) const = default;
+};
+
 // Whether a key has to be there.
 enum class presence : std::uint8_t { optional, required };
 
@@ -84,6 +92,9 @@
   // The line of the key, or of the mapping where the key is absent.
   int line_of(std::string_view key) const;
 
+  // All keys of the mapping in the order of the file.
+  std::vector<key_position> keys() const;
+
   // Records each key that was never asked for and each key that is given twice, and returns all
   // findings. The reader is of no further use.
   std::vector<finding> finish();
--- /dev/null
+++ b/lib/model/set_json.cpp
@@ -0,0 +1,288 @@
+#include <algorithm>
+#include <set>
+#include <type_traits>
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "acaciasill/model/configuration_set.h"
+
+namespace acaciasill::model {
+namespace {
+
+using support::result_code;
+using json = nlohmann::ordered_json;
+
+// The number of the form of the canonical JSON. It rises when a field is added or changes.
+constexpr int set_format = 1;
+constexpr std::string_view format_key = "format";
+
+// Writes the fields of one object in the order in which they are visited.
+class json_writer {
+public:
+  void text(const char* key, const std::string& field, presence /*needed*/ = {}) {
+    object_[key] = field;
+  }
+  void flag(const char* key, bool field, presence /*needed*/ = {}) { object_[key] = field; }
+  void number(const char* key, double field, double /*min*/, double /*max*/) {
+    object_[key] = field;
+  }
+  void time_span(const char* key, support::milliseconds field, support::milliseconds /*min*/,
+                 support::milliseconds /*max*/) {
+    object_[key] = field.count();
+  }
+  void text_list(const char* key, const std::vector<std::string>& field) { object_[key] = field; }
+  template <typename Integer>
+  void integer(const char* key, Integer field, std::int64_t /*min*/, std::int64_t /*max*/,
+               presence /*needed*/ = {}) {
+    object_[key] = static_cast<std::int64_t>(field);
+  }
+
+  json take() { return std::move(object_); }
+
+private:
+  json object_ = json::object();
+};
+
+// Reads the fields of one object; every field must be there, and no other.
+class json_reader {
+public:
+  explicit json_reader(const json& object) : object_(object) {
+    if (!object.is_object()) {
+      fail(result_code::wrong_type, "an object is expected");
+    }
+  }
+
+  void text(const char* key, std::string& field, presence /*needed*/ = {}) {
+    if (const auto* value = take(key, &json::is_string)) {
+      field = value->get<std::string>();
+    }
+  }
+  void flag(const char* key, bool& field, presence /*needed*/ = {}) {
+    if (const auto* value = take(key, &json::is_boolean)) {
+      field = value->get<bool>();
+    }
+  }
+  void number(const char* key, double& field, double min, double max) {
+    const auto* value = take(key, &json::is_number);
+    if (value == nullptr) {
+      return;
+    }
+    const auto parsed = value->get<double>();
+    if (!(parsed >= min && parsed <= max)) {
+      return fail(result_code::out_of_range, key);
+    }
+    field = parsed;
+  }
+  void time_span(const char* key, support::milliseconds& field, support::milliseconds min,
+                 support::milliseconds max) {
+    if (const auto value = whole(key, min.count(), max.count())) {
+      field = support::milliseconds(*value);
+    }
+  }
+  void text_list(const char* key, std::vector<std::string>& field) {
+    const auto* value = take(key, &json::is_array);
+    if (value == nullptr) {
+      return;
+    }
+    const auto is_text = [](const json& item) { return item.is_string(); };
+    if (!std::all_of(value->begin(), value->end(), is_text)) {
+      return fail(result_code::wrong_type, key);
+    }
+    field = value->get<std::vector<std::string>>();
+  }
+  template <typename Integer>
+  void integer(const char* key, Integer& field, std::int64_t min, std::int64_t max,
+               presence /*needed*/ = {}) {
+    if (const auto value = whole(key, min, max)) {
+      field = static_cast<Integer>(*value);
+    }
+  }
+
+  // The first problem, unknown keys included.
+  absl::Status finish() {
+    if (status_.ok() && taken_ != object_.size()) {
+      fail(result_code::unknown_key, "an object holds more than its fields");
+    }
+    return status_;
+  }
+
+private:
+  const json* take(const char* key, bool (json::*has_type)() const noexcept) {
+    if (!status_.ok()) {
+      return nullptr;
+    }
+    const auto found = object_.find(key);
+    if (found == object_.end()) {
+      fail(result_code::missing_key, key);
+      return nullptr;
+    }
+    ++taken_;
+    if (!((*found).*has_type)()) {
+      fail(result_code::wrong_type, key);
+      return nullptr;
+    }
+    return &*found;
+  }
+
+  std::optional<std::int64_t> whole(const char* key, std::int64_t min, std::int64_t max) {
+    const auto* value = take(key, &json::is_number_integer);
+    if (value == nullptr) {
+      return std::nullopt;
+    }
+    // An unsigned number beyond the signed range turns negative or is compared as out of range.
+    const auto parsed = value->get<std::int64_t>();
+    const bool wrapped = value->is_number_unsigned() && parsed < 0;
+    if (wrapped || parsed < min || parsed > max) {
+      fail(result_code::out_of_range, key);
+      return std::nullopt;
+    }
+    return parsed;
+  }
+
+  void fail(result_code code, std::string_view detail) {
+    if (status_.ok()) {
+      status_ = support::make_error(code, detail);
+    }
+  }
+
+  const json& object_;
+  std::size_t taken_ = 0;
+  absl::Status status_;
+};
+
+template <typename Object>
+json write_object(Object object) {
+  json_writer writer;
+  visit_fields(writer, object);
+  return writer.take();
+}
+
+template <typename Object>
+absl::Status read_objects(const json& whole, std::string_view kind, std::vector<Object>& objects) {
+  const auto list = whole.find(std::string(kind));
+  if (list == whole.end() || !list->is_array()) {
+    return support::make_error(result_code::missing_key, kind);
+  }
+  for (const auto& item : *list) {
+    json_reader reader(item);
+    Object object;
+    visit_fields(reader, object);
+    if (auto status = reader.finish(); !status.ok()) {
+      return status;
+    }
+    objects.push_back(std::move(object));
+  }
+  return absl::OkStatus();
+}
+
+// The objects are sorted by name.
+template <typename Object>
+const Object* find_by_name(const std::vector<Object>& objects, const std::string& name) {
+  const auto found = std::lower_bound(
+      objects.begin(), objects.end(), name,
+      [](const Object& object, const std::string& wanted) { return object.name < wanted; });
+  return found == objects.end() || found->name != name ? nullptr : &*found;
+}
+
+std::vector<field_change> changed_fields(const json& before, const json& after) {
+  std::vector<field_change> changes;
+  const json& keys = after.empty() ? before : after;
+  for (const auto& [key, ignored] : keys.items()) {
+    const std::string old_value = before.contains(key) ? before.at(key).dump() : "";
+    const std::string new_value = after.contains(key) ? after.at(key).dump() : "";
+    if (old_value != new_value) {
+      changes.push_back({key, old_value, new_value});
+    }
+  }
+  return changes;
+}
+
+template <typename Object>
+void compare_objects(object_kind kind, const std::vector<Object>& before,
+                     const std::vector<Object>& after, std::vector<object_change>& changes) {
+  std::set<std::string> names;
+  for (const auto* objects : {&before, &after}) {
+    for (const auto& object : *objects) {
+      names.insert(object.name);
+    }
+  }
+  for (const auto& name : names) {
+    const auto* old_object = find_by_name(before, name);
+    const auto* new_object = find_by_name(after, name);
+    auto fields = changed_fields(old_object ? write_object(*old_object) : json::object(),
+                                 new_object ? write_object(*new_object) : json::object());
+    if (!fields.empty()) {
+      changes.push_back(
+          {kind, name, old_object != nullptr, new_object != nullptr, std::move(fields)});
+    }
+  }
+}
+
+} // namespace
+
+std::string serialise(const configuration& set) {
+  configuration ordered = set;
+  normalise(ordered);
+  json whole = json::object();
+  whole[std::string(format_key)] = set_format;
+  for_each_kind(ordered, [&](object_kind kind, const auto& objects) {
+    json list = json::array();
+    for (const auto& object : objects) {
+      list.push_back(write_object(object));
+    }
+    whole[std::string(kind_name(kind))] = std::move(list);
+  });
+  return whole.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+absl::StatusOr<configuration> parse_set(std::string_view text) {
+  if (text.size() > max_set_bytes) {
+    return support::make_error(result_code::out_of_range, "the set is too large");
+  }
+  const auto whole = json::parse(text, nullptr, false);
+  if (!whole.is_object()) {
+    return support::make_error(result_code::bad_yaml, "the set is no JSON object");
+  }
+  const auto format = whole.find(std::string(format_key));
+  if (format == whole.end() || *format != set_format) {
+    return support::make_error(result_code::bad_yaml, "the form of the set is not known");
+  }
+  configuration set;
+  absl::Status status;
+  std::size_t kinds = 0;
+  for_each_kind(set, [&](object_kind kind, auto& objects) {
+    ++kinds;
+    if (status.ok()) {
+      status = read_objects(whole, kind_name(kind), objects);
+    }
+  });
+  if (!status.ok()) {
+    return status;
+  }
+  if (whole.size() != kinds + 1) {
+    return support::make_error(result_code::unknown_key, "the set holds more than its objects");
+  }
+  return set;
+}
+
+std::vector<object_change> difference(const configuration& before, const configuration& after) {
+  configuration old_set = before;
+  configuration new_set = after;
+  normalise(old_set);
+  normalise(new_set);
+  std::vector<object_change> changes;
+  const auto compare = [&](object_kind kind, auto list) {
+    compare_objects(kind, old_set.*list, new_set.*list, changes);
+  };
+  compare(object_kind::data_centre, &configuration::data_centres);
+  compare(object_kind::organisation, &configuration::organisations);
+  compare(object_kind::priority, &configuration::priorities);
+  compare(object_kind::limits, &configuration::limit_sets);
+  compare(object_kind::service, &configuration::services);
+  compare(object_kind::route, &configuration::routes);
+  compare(object_kind::caller_policy, &configuration::caller_policies);
+  return changes;
+}
+
+} // namespace acaciasill::model
--- a/lib/model/settings_reader.cpp
+++ b/lib/model/settings_reader.cpp
@@ -137,6 +137,14 @@
   return found == entries_.end() ? line_ : found->line;
 }
 
+std::vector<key_position> settings_reader::keys() const {
+  std::vector<key_position> result;
+  for (const auto& present : entries_) {
+    result.push_back({present.key, present.line});
+  }
+  return result;
+}
+
 std::vector<finding> settings_reader::finish() {
   for (const auto& unread : entries_) {
     if (!unread.asked_for) {
--- /dev/null
+++ b/lib/model/snapshot.cpp
@@ -0,0 +1,177 @@
+#include "acaciasill/model/snapshot.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "acaciasill/model/validation.h"
+
+namespace acaciasill::model {
+namespace {
+
+// The bit of a method that routes may name; 0 for any other.
+std::uint32_t method_bit(std::string_view method) {
+  const auto found = std::find(std::begin(route_methods), std::end(route_methods), method);
+  if (found == std::end(route_methods)) {
+    return 0;
+  }
+  return std::uint32_t{1} << static_cast<std::uint32_t>(found - std::begin(route_methods));
+}
+
+// The methods that HTTP defines as idempotent.
+bool is_idempotent_method(std::string_view method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS" || method == "PUT" ||
+         method == "DELETE";
+}
+
+bool has_prefix(std::string_view path, std::string_view prefix) {
+  if (!path.starts_with(prefix)) {
+    return false;
+  }
+  return prefix.back() == '/' || path.size() == prefix.size() || path[prefix.size()] == '/';
+}
+
+bool takes_method(const compiled_route& each, std::uint32_t bit) {
+  return each.method_mask == 0 || (each.method_mask & bit) != 0;
+}
+
+template <typename Object>
+name_index index_names(const std::vector<Object>& objects) {
+  std::vector<std::string> names;
+  names.reserve(objects.size());
+  for (const auto& object : objects) {
+    names.push_back(object.name);
+  }
+  return name_index(std::move(names));
+}
+
+compiled_route compile_route(const route& each, std::uint32_t index, std::uint8_t rank) {
+  std::uint32_t mask = 0;
+  for (const auto& method : each.methods) {
+    mask |= method_bit(method);
+  }
+  return {each.path_prefix, mask, {index, rank, each.idempotent, each.claim_key}};
+}
+
+// Longer prefixes come first, then routes that name methods.
+void sort_routes(std::vector<compiled_route>& routes) {
+  std::stable_sort(routes.begin(), routes.end(),
+                   [](const compiled_route& left, const compiled_route& right) {
+                     if (left.path_prefix.size() != right.path_prefix.size()) {
+                       return left.path_prefix.size() > right.path_prefix.size();
+                     }
+                     return left.method_mask != 0 && right.method_mask == 0;
+                   });
+}
+
+// Adds to the list all services that the start reaches.
+std::vector<service_index> find_reachable(const std::vector<compiled_service>& services,
+                                          service_index start) {
+  std::vector<service_index> reached = {start};
+  std::vector<bool> seen(services.size(), false);
+  seen[start] = true;
+  for (std::size_t next = 0; next < reached.size(); ++next) {
+    for (const auto callee : services[reached[next]].calls) {
+      if (!seen[callee]) {
+        seen[callee] = true;
+        reached.push_back(callee);
+      }
+    }
+  }
+  std::sort(reached.begin(), reached.end());
+  return reached;
+}
+
+// Looks up a name that the check of references has found to exist.
+std::uint32_t must_find(const name_index& names, std::string_view name) {
+  return names.find(name).value();
+}
+
+} // namespace
+
+std::optional<service_index> snapshot::find_service(std::string_view name) const {
+  return service_names_.find(name);
+}
+
+std::optional<organisation_index> snapshot::find_organisation(std::string_view name) const {
+  return organisation_names_.find(name);
+}
+
+std::optional<std::uint8_t> snapshot::find_rank(std::string_view priority) const {
+  if (const auto index = priority_names_.find(priority)) {
+    return set_.priorities[*index].rank;
+  }
+  return std::nullopt;
+}
+
+const compiled_caller_policy* snapshot::find_caller_policy(std::string_view name) const {
+  if (const auto index = caller_policy_names_.find(name)) {
+    return &caller_policies_[*index];
+  }
+  return nullptr;
+}
+
+route_facts snapshot::classify(service_index service, std::string_view method,
+                               std::string_view path) const {
+  const auto& target = services_[service];
+  const std::uint32_t bit = method_bit(method);
+  const std::string_view before_query = path.substr(0, path.find('?'));
+  const std::string_view plain_path = before_query.empty() ? "/" : before_query;
+  for (const auto& candidate : target.routes) {
+    if (takes_method(candidate, bit) && has_prefix(plain_path, candidate.path_prefix)) {
+      return candidate.facts;
+    }
+  }
+  return {std::nullopt, target.default_rank, is_idempotent_method(method), false};
+}
+
+absl::StatusOr<snapshot> compile_snapshot(configuration set) {
+  normalise(set);
+  if (const auto findings = validate(set, {}, "set"); !findings.empty()) {
+    return support::make_error(findings.front().code, format_finding(findings.front()));
+  }
+  snapshot result;
+  result.service_names_ = index_names(set.services);
+  result.organisation_names_ = index_names(set.organisations);
+  result.priority_names_ = index_names(set.priorities);
+  result.caller_policy_names_ = index_names(set.caller_policies);
+  const auto limit_names = index_names(set.limit_sets);
+  const auto rank_of = [&](std::string_view name) {
+    return set.priorities[must_find(result.priority_names_, name)].rank;
+  };
+  for (const auto& each : set.services) {
+    compiled_service compiled{each.name,
+                              set.limit_sets[must_find(limit_names, each.limits)],
+                              rank_of(each.default_priority),
+                              each.slots,
+                              each.connections,
+                              each.expected_upstreams,
+                              {},
+                              {},
+                              {}};
+    for (const auto& callee : each.calls) {
+      compiled.calls.push_back(must_find(result.service_names_, callee));
+    }
+    result.services_.push_back(std::move(compiled));
+  }
+  for (std::uint32_t i = 0; i < set.routes.size(); ++i) {
+    const auto& each = set.routes[i];
+    const auto owner = must_find(result.service_names_, each.service);
+    result.services_[owner].routes.push_back(compile_route(each, i, rank_of(each.priority)));
+  }
+  for (service_index i = 0; i < result.services_.size(); ++i) {
+    sort_routes(result.services_[i].routes);
+    result.services_[i].reachable = find_reachable(result.services_, i);
+  }
+  for (const auto& each : set.organisations) {
+    result.organisations_.push_back({each.name, each.guaranteed_share, each.weight});
+  }
+  for (const auto& each : set.caller_policies) {
+    result.caller_policies_.push_back(
+        {each, result.organisation_names_.find(each.default_organisation)});
+  }
+  result.set_ = std::move(set);
+  return result;
+}
+
+} // namespace acaciasill::model
