Add the stand-in backend server and its self-checking answers

It has slots, a bounded queue or collapse beyond them, cold starts, its own downstream calls through the local daemon, load reports that lag or mislead, cancellation on a closed connection and a drain on SIGTERM.

--- /dev/null
+++ b/tools/standin-backend/run_counters.h
@@ -0,0 +1,74 @@
+#ifndef STANDIN_BACKEND_RUN_COUNTERS_H
+#define STANDIN_BACKEND_RUN_COUNTERS_H
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+namespace acaciasill::standin {
+
+// What became of the calls of one request id at this server.
+struct request_tally {
+  std::uint32_t attempts = 0;
+  std::uint32_t runs = 0;
+
+  bool operator==(const request_tally&) const = default;
+};
+
+// Plain totals since the start of the process.
+struct run_totals {
+  std::atomic<std::uint64_t> attempts{0};
+  std::atomic<std::uint64_t> runs{0};
+  std::atomic<std::uint64_t> completed{0};
+  std::atomic<std::uint64_t> failed{0};
+  std::atomic<std::uint64_t> not_started{0};
+  std::atomic<std::uint64_t> cancelled{0};
+  std::atomic<std::uint64_t> child_failures{0};
+  std::atomic<std::uint64_t> foreign_answers{0};
+  std::atomic<std::int64_t> in_flight{0};
+};
+
+// Counts calls in all, by request id and by idempotency key. Thread-safe.
+class run_counters {
+public:
+  explicit run_counters(bool track) : track_(track) {}
+
+  // A call arrived, whatever becomes of it.
+  void add_attempt(const std::string& request_id);
+
+  // A call started to run. An empty key is not counted by key.
+  void add_run(const std::string& request_id, const std::string& idempotency_key);
+
+  run_totals& totals() { return totals_; }
+
+  // All totals and the extremes over requests and keys, as one JSON object.
+  std::string to_json() const;
+
+  // One line "id attempts runs" for each request id.
+  std::string list_requests() const;
+
+  // One line "key runs" for each idempotency key.
+  std::string list_keys() const;
+
+private:
+  static constexpr std::size_t shard_count = 64;
+
+  struct shard {
+    mutable std::mutex mutex;
+    std::unordered_map<std::string, request_tally> requests;
+    std::unordered_map<std::string, std::uint32_t> key_runs;
+  };
+
+  shard& shard_of(const std::string& text);
+
+  bool track_;
+  run_totals totals_;
+  std::array<shard, shard_count> shards_;
+};
+
+} // namespace acaciasill::standin
+
+#endif
--- /dev/null
+++ b/tools/standin-backend/server_context.h
@@ -0,0 +1,72 @@
+#ifndef STANDIN_BACKEND_SERVER_CONTEXT_H
+#define STANDIN_BACKEND_SERVER_CONTEXT_H
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <unordered_set>
+
+#include <asio/io_context.hpp>
+
+#include "acaciasill/support/time.h"
+#include "http_client.h"
+#include "run_counters.h"
+#include "settings.h"
+#include "slot_pool.h"
+
+namespace acaciasill::standin {
+
+class call_job;
+
+// Faults that are switched on and off at run time.
+struct fault_state {
+  std::atomic<double> slow_factor{1.0};
+  std::atomic<double> fail_ratio{0.0};
+  std::atomic<bool> refuse{false};
+};
+
+// The calls that are open on each connection, so that a closed connection stops them. Thread-safe.
+class open_calls {
+public:
+  // Returns whether this is the connection's first call.
+  bool add(std::uint64_t connection, const std::shared_ptr<call_job>& job);
+  void remove(std::uint64_t connection, const call_job* job);
+
+  // Forgets the connection and returns the calls that were open on it.
+  std::vector<std::shared_ptr<call_job>> close(std::uint64_t connection);
+
+private:
+  struct connection_calls {
+    std::unordered_map<const call_job*, std::weak_ptr<call_job>> jobs;
+  };
+
+  std::mutex mutex_;
+  std::unordered_map<std::uint64_t, connection_calls> connections_;
+};
+
+// What all calls of one server share.
+struct server_context {
+  explicit server_context(const settings& given);
+
+  settings config;
+  asio::io_context io;
+  run_counters counters;
+  slot_pool slots;
+  fault_state faults;
+  open_calls calls;
+  http_client client;
+  support::time_point started = support::monotonic_now();
+  // When the server announced that it leaves, in nanoseconds of monotonic time; 0 for not yet.
+  std::atomic<std::int64_t> left_at{0};
+  // The longest time after leaving at which a call still arrived, in nanoseconds.
+  std::atomic<std::int64_t> last_call_after_leave{0};
+  std::atomic<std::uint64_t> calls_after_leave{0};
+};
+
+// Whether the server is still within its cold start.
+bool is_cold(const server_context& context);
+
+} // namespace acaciasill::standin
+
+#endif
--- /dev/null
+++ b/unittests/load/load_answer_test.cpp
@@ -0,0 +1,20 @@
+#include "acaciasill/net/load_answer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciasill::net;
+
+TEST_CASE("a whole answer passes only for its own request") {
+  const auto text = format_answer({"0a", "catalogue", 7}, 100);
+  CHECK(check_answer(text, "0a", 7) == answer_check::whole);
+  CHECK(check_answer(text, "0b", 7) == answer_check::foreign);
+  CHECK(check_answer(text, "0a", 8) == answer_check::foreign);
+}
+
+TEST_CASE("a cut or changed answer is noticed") {
+  auto text = format_answer({"0a", "catalogue", 7}, 100);
+  CHECK(check_answer(text.substr(0, text.size() - 1), "0a", 7) == answer_check::cut);
+  CHECK(check_answer("", "0a", 7) == answer_check::cut);
+  text[60] = 'x';
+  CHECK(check_answer(text, "0a", 7) == answer_check::cut);
+}
