--- /dev/null
+++ b/lib/decide/concurrency_limit.cpp
@@ -0,0 +1,140 @@
+#include "acaciasill/decide/concurrency_limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace acaciasill::decide {
+
+namespace {
+
+constexpr auto relaxed = std::memory_order_relaxed;
+constexpr double first_part = 0.1;
+// A limit that is used to this part counts as saturated.
+constexpr double saturated_part = 0.9;
+// Calls that take longer than unsaturated ones by this factor raise the doubt.
+constexpr double suspicious_slowness = 1.5;
+// A trial lowers the limit to this part.
+constexpr double trial_part = 0.8;
+// A trial holds where this part of the finished calls remains.
+constexpr double held_rate = 0.93;
+// A server that refuses calls itself is given this part of what it had.
+constexpr double shed_part = 0.9;
+// The part of the bound that is given back in a window without doubt.
+constexpr double regain_part = 0.05;
+// Windows between two trials after one that failed.
+constexpr std::uint32_t failed_trial_pause = 10;
+// A report may exceed the configured slots by this factor.
+constexpr double report_bound = 2.0;
+// Fewer finished calls than this in a window decide nothing.
+constexpr std::uint32_t least_finished = 10;
+constexpr double unsaturated_smoothing = 0.1;
+
+double full_limit(const limit_settings& settings, const limit_sample& sample) {
+  const double slots = settings.slots;
+  if (sample.reported_slots == 0) {
+    return slots;
+  }
+  return std::min<double>(sample.reported_slots, slots * report_bound);
+}
+
+double rate_of(const limit_sample& sample) {
+  const double seconds = std::chrono::duration<double>(sample.window).count();
+  return seconds <= 0.0 ? 0.0 : sample.finished / seconds;
+}
+
+void learn_service_time(limit_state& state, double mean_us, bool saturated) {
+  if (state.unsaturated_us == 0.0 || (mean_us < state.unsaturated_us)) {
+    state.unsaturated_us = mean_us;
+    return;
+  }
+  if (!saturated) {
+    state.unsaturated_us += unsaturated_smoothing * (mean_us - state.unsaturated_us);
+  }
+}
+
+// Ends a trial: keeps the lower limit or goes back to the one before.
+void judge_trial(limit_state& state, const limit_sample& sample, double mean_us) {
+  state.on_trial = false;
+  if (rate_of(sample) >= held_rate * state.rate_before) {
+    return;
+  }
+  state.observed = state.limit_before;
+  state.pause = failed_trial_pause;
+  state.unsaturated_us = mean_us;
+}
+
+void start_trial(limit_state& state, const limit_sample& sample) {
+  state.on_trial = true;
+  state.rate_before = rate_of(sample);
+  state.limit_before = state.observed;
+  state.observed = std::max(1.0, state.observed * trial_part);
+}
+
+void observe(limit_state& state, const limit_sample& sample, double full) {
+  if (sample.backend_sheds > 0) {
+    state.on_trial = false;
+    state.observed =
+        std::max(1.0, std::min<double>(state.observed, sample.peak_in_flight) * shed_part);
+    state.pause = failed_trial_pause;
+    return;
+  }
+  if (sample.finished < least_finished) {
+    state.observed = std::min(full, state.observed * (1.0 + regain_part));
+    return;
+  }
+  const double mean_us = static_cast<double>(sample.service_sum_us) / sample.finished;
+  const bool saturated = sample.peak_in_flight >= saturated_part * state.observed;
+  if (state.on_trial) {
+    judge_trial(state, sample, mean_us);
+    return;
+  }
+  const bool slow =
+      state.unsaturated_us > 0.0 && mean_us > suspicious_slowness * state.unsaturated_us;
+  learn_service_time(state, mean_us, saturated);
+  state.pause -= std::min<std::uint32_t>(state.pause, 1);
+  if (saturated && slow && state.pause == 0) {
+    start_trial(state, sample);
+    return;
+  }
+  if (!slow && saturated) {
+    state.observed = std::min(full, state.observed * (1.0 + regain_part));
+  }
+}
+
+} // namespace
+
+double slow_start_part(support::duration since_ready, support::duration slow_start) {
+  if (since_ready >= slow_start || slow_start.count() <= 0) {
+    return 1.0;
+  }
+  const double part =
+      static_cast<double>(since_ready.count()) / static_cast<double>(slow_start.count());
+  return first_part + (1.0 - first_part) * std::clamp(part, 0.0, 1.0);
+}
+
+std::uint32_t update_limit(limit_state& state, const limit_settings& settings,
+                           const limit_sample& sample, support::time_point now) {
+  const double full = full_limit(settings, sample);
+  if (state.observed <= 0.0) {
+    state.observed = full;
+  }
+  state.observed = std::min(state.observed, full);
+  observe(state, sample, full);
+  const double part = slow_start_part(now - state.ready_since, settings.slow_start);
+  return static_cast<std::uint32_t>(std::max(1.0, std::round(state.observed * part)));
+}
+
+limit_sample take_limit_sample(gate& state, std::uint32_t reported_slots,
+                               std::uint32_t backend_sheds, support::duration window) {
+  limit_sample sample;
+  sample.reported_slots = reported_slots;
+  sample.backend_sheds = backend_sheds;
+  sample.window = window;
+  sample.peak_in_flight = state.peak_in_flight.exchange(state.in_flight.load(relaxed), relaxed);
+  sample.finished = state.window_finished.exchange(0, relaxed);
+  sample.service_sum_us = state.service_sum_us.exchange(0, relaxed);
+  sample.waiting = state.waiting.load(relaxed) > 0;
+  return sample;
+}
+
+} // namespace acaciasill::decide
--- /dev/null
+++ b/lib/decide/entry_thresholds.cpp
@@ -0,0 +1,89 @@
+#include "acaciasill/decide/entry_thresholds.h"
+
+#include <algorithm>
+
+namespace acaciasill::decide {
+
+namespace {
+
+constexpr auto relaxed = std::memory_order_relaxed;
+constexpr unsigned first_step_shift = hash_bits - 6;
+constexpr std::uint32_t strict_part = 2;
+constexpr std::uint32_t loose_part = 8;
+
+std::uint32_t stamp_of(support::time_point now) {
+  return static_cast<std::uint32_t>(support::whole_milliseconds(now.time_since_epoch()));
+}
+
+std::uint64_t pack(level threshold, std::uint32_t stamp) {
+  return (std::uint64_t{threshold} << 32U) | stamp;
+}
+
+// The threshold of a cell, loosened by its age.
+level aged(std::uint64_t cell, std::uint32_t stamp) {
+  if (cell == 0) {
+    return accept_all;
+  }
+  const auto threshold = static_cast<level>(cell >> 32U);
+  const auto age = stamp - static_cast<std::uint32_t>(cell);
+  // A moment before the last change counts as no age.
+  if (age > std::uint32_t{1} << 31U) {
+    return threshold;
+  }
+  const auto steps = age / static_cast<std::uint32_t>(ageing_period.count());
+  if (steps == 0) {
+    return threshold;
+  }
+  if (steps > 32 - first_step_shift) {
+    return accept_all;
+  }
+  const auto loosened =
+      std::uint64_t{threshold} +
+      ((std::uint64_t{1} << (first_step_shift + steps)) - (std::uint64_t{1} << first_step_shift));
+  return static_cast<level>(std::min<std::uint64_t>(loosened, accept_all));
+}
+
+level blend(level before, level reply) {
+  if (reply < before) {
+    return before - (before - reply) / strict_part - ((before - reply) % strict_part);
+  }
+  const auto difference = reply - before;
+  return before + std::max(difference / loose_part, std::min<level>(difference, 1U << 12U));
+}
+
+} // namespace
+
+level entry_threshold(const entry_thresholds& table, std::uint32_t subject,
+                      std::uint32_t organisation, support::time_point now) {
+  if (subject >= table.subjects || organisation >= table.organisations) {
+    return accept_all;
+  }
+  const auto index = static_cast<std::size_t>(subject) * table.organisations + organisation;
+  return aged(table.cells[index].load(relaxed), stamp_of(now));
+}
+
+bool shed_at_entry(const entry_thresholds& table, std::uint32_t subject, std::uint32_t organisation,
+                   level request, support::time_point now) {
+  return !admits(entry_threshold(table, subject, organisation, now), path_level(request));
+}
+
+void learn_threshold(entry_thresholds& table, std::uint32_t subject, std::uint32_t organisation,
+                     level reply_threshold, support::time_point now) {
+  if (subject >= table.subjects || organisation >= table.organisations) {
+    return;
+  }
+  const auto stamp = stamp_of(now);
+  auto& cell = table.cells[static_cast<std::size_t>(subject) * table.organisations + organisation];
+  auto before = cell.load(relaxed);
+  while (true) {
+    const auto present = aged(before, stamp);
+    if (present == accept_all && reply_threshold == accept_all) {
+      return;
+    }
+    if (cell.compare_exchange_weak(before, pack(blend(present, reply_threshold), stamp), relaxed)) {
+      return;
+    }
+  }
+}
+
+} // namespace acaciasill::decide
--- /dev/null
+++ b/lib/decide/gate.cpp
@@ -0,0 +1,122 @@
+#include "acaciasill/decide/gate.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace acaciasill::decide {
+
+namespace {
+
+constexpr auto relaxed = std::memory_order_relaxed;
+// The shortest advice to come back, before jitter.
+constexpr double retry_after_base_ms = 100.0;
+// The longest advice, before jitter.
+constexpr double retry_after_longest_ms = 5000.0;
+// The part of a new service time in the smoothed one is 1 / 2^3.
+constexpr unsigned service_time_shift = 3;
+
+void note_peak(gate& state, std::uint32_t in_flight) {
+  auto peak = state.peak_in_flight.load(relaxed);
+  while (in_flight > peak &&
+         !state.peak_in_flight.compare_exchange_weak(peak, in_flight, relaxed)) {
+  }
+}
+
+void release_slot(gate& state, std::uint32_t organisation) {
+  state.organisations[organisation].in_flight.fetch_sub(1, relaxed);
+  [[maybe_unused]] const auto before = state.in_flight.fetch_sub(1, std::memory_order_acq_rel);
+  assert(before > 0 && "a slot is given back only once");
+}
+
+std::uint32_t retry_after(const organisation_counters& counters, support::random_source& random) {
+  const double excess = static_cast<double>(counters.excess.load(relaxed)) / 100.0;
+  const double base = std::min(retry_after_longest_ms, retry_after_base_ms * (1.0 + excess));
+  return static_cast<std::uint32_t>(base * (0.5 + support::uniform_unit(random)));
+}
+
+} // namespace
+
+gate::gate(std::uint32_t organisation_count, std::uint32_t initial_limit)
+    : limit(initial_limit), organisations(organisation_count) {}
+
+bool take_slot(gate& state, std::uint32_t organisation) {
+  auto used = state.in_flight.load(relaxed);
+  while (used < state.limit.load(relaxed)) {
+    if (state.in_flight.compare_exchange_weak(used, used + 1, std::memory_order_acq_rel)) {
+      state.organisations[organisation].in_flight.fetch_add(1, relaxed);
+      state.started.fetch_add(1, relaxed);
+      note_peak(state, used + 1);
+      return true;
+    }
+  }
+  return false;
+}
+
+admit_decision admit(gate& state, const gate_view& view, const request_facts& request,
+                     support::time_point now, support::random_source& random) {
+  using support::result_code;
+  if (request.organisation >= state.organisations.size() ||
+      request.organisation >= view.organisations.size()) {
+    return {admission::refuse, result_code::unknown_organisation, 0, accept_all};
+  }
+  if (state.draining.load(relaxed)) {
+    return {admission::refuse, result_code::draining, 0, accept_all};
+  }
+  if (request.deadline <= now + expected_service_time(state)) {
+    return refuse(state, view, request, result_code::deadline_exceeded, random);
+  }
+  auto& counters = state.organisations[request.organisation];
+  counters.arrivals.fetch_add(1, relaxed);
+  counters.offered[bucket_of(request.level)].fetch_add(1, relaxed);
+  if (!admits(counters.threshold.load(relaxed), request.level)) {
+    return refuse(state, view, request, result_code::shed_at_upstream, random);
+  }
+  if (state.waiting.load(relaxed) == 0 && take_slot(state, request.organisation)) {
+    return {admission::run, result_code::ok, 0, reply_threshold(state, request)};
+  }
+  return {admission::wait, result_code::ok, 0, reply_threshold(state, request)};
+}
+
+void on_finish(gate& state, std::uint32_t organisation, support::duration service_time) {
+  const auto counted = std::chrono::duration_cast<support::microseconds>(service_time).count();
+  const auto bounded = std::clamp<std::int64_t>(counted, 1, std::int64_t{1} << 30);
+  state.finished.fetch_add(1, relaxed);
+  state.window_finished.fetch_add(1, relaxed);
+  state.service_sum_us.fetch_add(static_cast<std::uint64_t>(bounded), relaxed);
+  const std::int64_t before = state.service_time_us.load(relaxed);
+  const std::int64_t after =
+      before == 0 ? bounded
+                  : before + ((bounded - before) / (std::int64_t{1} << service_time_shift));
+  state.service_time_us.store(static_cast<std::uint32_t>(after), relaxed);
+  release_slot(state, organisation);
+}
+
+void on_cancel(gate& state, std::uint32_t organisation) {
+  release_slot(state, organisation);
+}
+
+admit_decision refuse(gate& state, const gate_view& view, const request_facts& request,
+                      support::result_code code, support::random_source& random) {
+  auto& counters = state.organisations[request.organisation];
+  counters.refused.fetch_add(1, relaxed);
+  if (code == support::result_code::shed_at_upstream) {
+    const double share = view.organisations[request.organisation].guaranteed;
+    const auto guaranteed = share * static_cast<double>(state.limit.load(relaxed));
+    // An organisation that uses more than its own part is told so, and not that the server is full.
+    if (share > 0.0 && static_cast<double>(counters.in_flight.load(relaxed)) > guaranteed) {
+      code = support::result_code::share_exceeded;
+    }
+  }
+  return {admission::refuse, code, retry_after(counters, random), reply_threshold(state, request)};
+}
+
+level reply_threshold(const gate& state, const request_facts& request) {
+  const auto own = state.organisations[request.organisation].threshold.load(relaxed);
+  return path_threshold(own, request.holds_finished_work);
+}
+
+support::duration expected_service_time(const gate& state) {
+  return support::microseconds(state.service_time_us.load(relaxed));
+}
+
+} // namespace acaciasill::decide
--- /dev/null
+++ b/lib/decide/request_path.cpp
@@ -0,0 +1,24 @@
+#include "acaciasill/decide/request_path.h"
+
+namespace acaciasill::decide {
+
+void on_reply(upstream_load& load, entry_thresholds& thresholds,
+              std::span<const std::uint32_t> subjects, attempt_budget& budget,
+              const reply_facts& reply, support::time_point now) {
+  end_attempt(load);
+  learn_result(load, reply.upstream_failed, now);
+  if (reply.load.limit != 0) {
+    learn_load(load, reply.load, now);
+  }
+  for (const auto subject : subjects) {
+    learn_threshold(thresholds, subject, reply.organisation, reply.threshold, now);
+  }
+  return_attempts(budget, reply.lent_attempts, reply.unused_attempts);
+}
+
+void on_reply(upstream_load& load, const lost_reply& /*lost*/, support::time_point now) {
+  end_attempt(load);
+  learn_result(load, true, now);
+}
+
+} // namespace acaciasill::decide
--- /dev/null
+++ b/lib/decide/retry.cpp
@@ -0,0 +1,213 @@
+#include "acaciasill/decide/retry.h"
+
+#include <algorithm>
+
+namespace acaciasill::decide {
+
+namespace {
+
+using support::result_code;
+constexpr auto relaxed = std::memory_order_relaxed;
+constexpr std::int32_t whole_retry = 1000;
+// The most retries that unused tokens allow in a row.
+constexpr std::int32_t most_tokens = 10 * whole_retry;
+// Tokens above one retry are halved in each such time.
+constexpr std::uint32_t half_life_ms = 1000;
+constexpr support::milliseconds backoff_base{10};
+constexpr support::milliseconds backoff_longest{500};
+constexpr std::uint32_t largest_exponent = 10;
+
+std::uint32_t milliseconds_of(support::time_point now) {
+  return static_cast<std::uint32_t>(support::whole_milliseconds(now.time_since_epoch()));
+}
+
+// Takes tokens away that were earned long ago. One caller wins each step of decay.
+void decay(retry_tokens& tokens, support::time_point now) {
+  const auto stamp = milliseconds_of(now);
+  auto last = tokens.decayed_ms.load(relaxed);
+  const auto age = stamp - last;
+  if (age < half_life_ms || age > std::uint32_t{1} << 31U) {
+    return;
+  }
+  if (!tokens.decayed_ms.compare_exchange_strong(last, stamp, relaxed)) {
+    return;
+  }
+  const auto halvings = std::min<std::uint32_t>(age / half_life_ms, largest_exponent);
+  auto before = tokens.thousandths.load(relaxed);
+  while (before > whole_retry) {
+    const auto after = whole_retry + ((before - whole_retry) >> halvings);
+    if (tokens.thousandths.compare_exchange_weak(before, after, relaxed)) {
+      return;
+    }
+  }
+}
+
+// A refusal that says nothing about load: the call goes elsewhere at no cost.
+bool is_free_elsewhere(result_code code) {
+  return code == result_code::draining || code == result_code::not_ready ||
+         code == result_code::peer_unreachable || code == result_code::backend_unreachable;
+}
+
+// A refusal for load: a retry would add to it.
+bool is_overload(result_code code) {
+  switch (code) {
+  case result_code::shed_at_entry:
+  case result_code::shed_at_upstream:
+  case result_code::queue_full:
+  case result_code::queue_timeout:
+  case result_code::share_exceeded:
+    return true;
+  default:
+    return false;
+  }
+}
+
+// A failure that another attempt may mend.
+bool is_transient(result_code code) {
+  switch (code) {
+  case result_code::backend_failed:
+  case result_code::backend_shed:
+  case result_code::backend_unreachable:
+  case result_code::peer_lost:
+  case result_code::peer_stalled:
+  case result_code::peer_mismatch:
+  case result_code::peer_unreachable:
+  case result_code::outcome_unknown:
+  case result_code::internal_error:
+    return true;
+  default:
+    return false;
+  }
+}
+
+retry_decision no(retry_decision::reason why) {
+  return {false, false, {}, why};
+}
+
+} // namespace
+
+std::uint32_t held_attempts(const attempt_budget& budget) {
+  return static_cast<std::uint32_t>(budget.state.load(relaxed));
+}
+
+std::uint32_t budget_epoch(const attempt_budget& budget) {
+  return static_cast<std::uint32_t>(budget.state.load(relaxed) >> 32U);
+}
+
+void reset_budget(attempt_budget& budget, std::uint32_t attempts) {
+  const auto epoch = std::uint64_t{budget_epoch(budget)} + 1;
+  budget.state.store((epoch << 32U) | attempts, relaxed);
+}
+
+std::uint32_t take_attempts(attempt_budget& budget, std::uint32_t most) {
+  auto state = budget.state.load(relaxed);
+  while (true) {
+    const auto taken = std::min(static_cast<std::uint32_t>(state), most);
+    if (budget.state.compare_exchange_weak(state, state - taken, relaxed)) {
+      return taken;
+    }
+  }
+}
+
+bool add_attempts(attempt_budget& budget, std::uint32_t epoch, std::uint32_t attempts) {
+  auto state = budget.state.load(relaxed);
+  while (static_cast<std::uint32_t>(state >> 32U) == epoch) {
+    if (budget.state.compare_exchange_weak(state, state + attempts, relaxed)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool spend_attempt(attempt_budget& budget) {
+  return take_attempts(budget, 1) == 1;
+}
+
+void restore_attempt(attempt_budget& budget) {
+  add_attempts(budget, budget_epoch(budget), 1);
+}
+
+std::uint32_t lend_attempts(attempt_budget& budget) {
+  auto state = budget.state.load(relaxed);
+  while (true) {
+    const auto lent = static_cast<std::uint32_t>(state) / 2;
+    if (lent == 0 || budget.state.compare_exchange_weak(state, state - lent, relaxed)) {
+      return lent;
+    }
+  }
+}
+
+std::uint32_t return_attempts(attempt_budget& budget, std::uint32_t lent, std::uint32_t unused,
+                              std::uint32_t epoch) {
+  const auto returned = std::min(lent, unused);
+  return add_attempts(budget, epoch, returned) ? returned : 0;
+}
+
+void earn_retry(retry_tokens& tokens, double ratio, support::time_point now) {
+  decay(tokens, now);
+  const auto earned = static_cast<std::int32_t>(ratio * whole_retry);
+  auto before = tokens.thousandths.load(relaxed);
+  while (before < most_tokens) {
+    const auto after = std::min(most_tokens, before + earned);
+    if (tokens.thousandths.compare_exchange_weak(before, after, relaxed)) {
+      return;
+    }
+  }
+}
+
+bool take_retry(retry_tokens& tokens, support::time_point now) {
+  decay(tokens, now);
+  auto before = tokens.thousandths.load(relaxed);
+  while (before >= whole_retry) {
+    if (tokens.thousandths.compare_exchange_weak(before, before - whole_retry, relaxed)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+support::duration backoff_delay(std::uint32_t retry, support::random_source& random) {
+  const auto factor = std::int64_t{1} << std::min(retry, largest_exponent);
+  const support::duration longest =
+      std::min<support::duration>(backoff_longest, backoff_base * factor);
+  const double part = support::uniform_unit(random) * static_cast<double>(longest.count());
+  return support::duration(static_cast<std::int64_t>(part));
+}
+
+retry_decision may_retry(attempt_budget& budget, retry_tokens& tokens, const failed_attempt& failed,
+                         support::time_point now, support::random_source& random) {
+  using reason = retry_decision::reason;
+  if (!failed.not_run && !failed.idempotent) {
+    return no(reason::may_have_run);
+  }
+  if (failed.overloaded_below || is_overload(failed.code)) {
+    return no(reason::overloaded);
+  }
+  if (!failed.next_to_failure) {
+    return no(reason::not_next_to_failure);
+  }
+  if (failed.tried >= failed.subset_size) {
+    return no(reason::no_upstream);
+  }
+  if (failed.not_run && is_free_elsewhere(failed.code)) {
+    const bool in_time = now + failed.expected_service_time < failed.deadline;
+    return in_time ? retry_decision{true, false, {}, reason::none} : no(reason::no_time);
+  }
+  if (!is_transient(failed.code)) {
+    return no(reason::permanent);
+  }
+  const auto delay = backoff_delay(failed.retries, random);
+  if (now + delay + failed.expected_service_time >= failed.deadline) {
+    return no(reason::no_time);
+  }
+  if (!spend_attempt(budget)) {
+    return no(reason::no_budget);
+  }
+  if (!take_retry(tokens, now)) {
+    restore_attempt(budget);
+    return no(reason::no_token);
+  }
+  return {true, true, delay, reason::none};
+}
+
+} // namespace acaciasill::decide
--- /dev/null
+++ b/lib/decide/routing.cpp
@@ -0,0 +1,246 @@
+#include "acaciasill/decide/routing.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciasill::decide {
+
+namespace {
+
+constexpr auto relaxed = std::memory_order_relaxed;
+// A report this old counts for nothing any more.
+constexpr std::uint32_t report_lifetime_ms = 1000;
+constexpr std::uint32_t failure_scale = 65536;
+constexpr unsigned failure_shift = 4;
+// An upstream with more failures than this part is an outlier.
+constexpr std::uint32_t outlier_part = failure_scale / 2;
+constexpr std::uint32_t least_replies = 8;
+constexpr std::uint32_t first_ejection_ms = 1000;
+constexpr std::uint32_t longest_ejection_ms = 30000;
+// Ejections are kept for the first upstreams of a view; a subset is far smaller.
+constexpr std::uint32_t mask_bits = 64;
+// Where more than this part of the subset looks bad, ejections say nothing.
+constexpr double panic_part = 0.5;
+// A local upstream this loaded makes a call look further.
+constexpr double full_load = 1.0;
+// A remote upstream takes calls up to this load.
+constexpr double spare_load = 0.8;
+// Counts of calls are halved at this number.
+constexpr std::uint32_t spill_window = 1024;
+// Spill below this many calls is not held to the cap.
+constexpr std::uint32_t spill_allowance = 4;
+
+std::uint32_t milliseconds_of(support::time_point now) {
+  return static_cast<std::uint32_t>(support::whole_milliseconds(now.time_since_epoch()));
+}
+
+std::uint64_t rendezvous_weight(std::uint64_t self, std::uint64_t member) {
+  std::uint64_t mixed = self * 0x9e3779b97f4a7c15ULL ^ member;
+  mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+  return mixed ^ (mixed >> 31U);
+}
+
+// Which upstreams an attempt may go to.
+struct eligibility {
+  std::span<const std::uint64_t> tried;
+  // The ejected upstreams that are left out, a bit for each index.
+  std::uint64_t ejected = 0;
+  support::time_point now;
+};
+
+bool may_use(const route_view& view, std::uint32_t index, const eligibility& rule) {
+  const auto& candidate = view.upstreams[index];
+  if (candidate.draining || (index < mask_bits && ((rule.ejected >> index) & 1U) != 0)) {
+    return false;
+  }
+  return std::find(rule.tried.begin(), rule.tried.end(), candidate.id) == rule.tried.end();
+}
+
+// The ejections that count: at most the cap, and none where half of the subset looks bad, since the
+// fault then lies elsewhere.
+std::uint64_t ejections_in_force(const route_view& view, support::time_point now) {
+  const auto all = static_cast<double>(view.upstreams.size());
+  const auto allowed = static_cast<std::uint32_t>(std::max(1.0, view.ejection_cap * all));
+  std::uint32_t looks_bad = 0;
+  std::uint64_t ejected = 0;
+  for (std::uint32_t index = 0; index < view.upstreams.size() && index < mask_bits; ++index) {
+    if (!is_ejected(*view.upstreams[index].load, now)) {
+      continue;
+    }
+    if (++looks_bad <= allowed) {
+      ejected |= std::uint64_t{1} << index;
+    }
+  }
+  return looks_bad > panic_part * all ? 0 : ejected;
+}
+
+// A random eligible upstream in [from, to) other than `except`: a random start, then the next.
+std::optional<std::uint32_t> pick_one(const route_view& view, std::uint32_t from, std::uint32_t to,
+                                      std::optional<std::uint32_t> except, const eligibility& rule,
+                                      support::random_source& random) {
+  const auto count = to - from;
+  if (count == 0) {
+    return std::nullopt;
+  }
+  const auto start = static_cast<std::uint32_t>(support::uniform_below(random, count));
+  for (std::uint32_t step = 0; step < count; ++step) {
+    const auto index = from + (start + step) % count;
+    if (index != except && may_use(view, index, rule)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+// An upstream and its load.
+struct choice {
+  std::uint32_t index = 0;
+  double load = 0.0;
+};
+
+// The less loaded of two random upstreams in [from, to).
+std::optional<choice> pick_of_two(const route_view& view, std::uint32_t from, std::uint32_t to,
+                                  const eligibility& rule, support::random_source& random) {
+  const auto first = pick_one(view, from, to, std::nullopt, rule, random);
+  if (!first) {
+    return std::nullopt;
+  }
+  const choice one{*first, load_estimate(view.upstreams[*first], rule.now)};
+  const auto second = pick_one(view, from, to, first, rule, random);
+  if (!second) {
+    return one;
+  }
+  const choice two{*second, load_estimate(view.upstreams[*second], rule.now)};
+  return two.load < one.load ? two : one;
+}
+
+void count_call(spill_counters& spill, bool spilled) {
+  if (spilled) {
+    spill.spilled.fetch_add(1, relaxed);
+  }
+  if (spill.calls.fetch_add(1, relaxed) + 1 < spill_window) {
+    return;
+  }
+  spill.calls.store(spill_window / 2, relaxed);
+  spill.spilled.store(spill.spilled.load(relaxed) / 2, relaxed);
+}
+
+bool spill_is_free(const route_view& view, const spill_counters& spill) {
+  const double spilled = spill.spilled.load(relaxed);
+  return spilled < spill_allowance + view.spill_cap * spill.calls.load(relaxed);
+}
+
+std::optional<std::uint32_t> choose(const route_view& view, spill_counters& spill,
+                                    const eligibility& rule, support::random_source& random) {
+  const auto all = static_cast<std::uint32_t>(view.upstreams.size());
+  const auto local = pick_of_two(view, 0, view.local_count, rule, random);
+  if (local && (local->load < full_load || !spill_is_free(view, spill))) {
+    count_call(spill, false);
+    return local->index;
+  }
+  const auto remote = pick_of_two(view, view.local_count, all, rule, random);
+  // Without any local upstream the cap would only lose the call.
+  const bool spills = remote && (!local || remote->load < std::min(spare_load, local->load));
+  if (!spills && !local) {
+    return std::nullopt;
+  }
+  count_call(spill, spills);
+  return spills ? remote->index : local->index;
+}
+
+} // namespace
+
+std::vector<std::uint32_t> choose_subset(std::span<const upstream> members, std::uint64_t self,
+                                         std::uint32_t local_data_centre,
+                                         std::uint32_t subset_size) {
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> local;
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> remote;
+  for (std::uint32_t index = 0; index < members.size(); ++index) {
+    const auto& member = members[index];
+    auto& part = member.data_centre == local_data_centre ? local : remote;
+    part.emplace_back(rendezvous_weight(self, member.id), index);
+  }
+  std::vector<std::uint32_t> subset;
+  for (auto* part : {&local, &remote}) {
+    std::sort(part->rbegin(), part->rend());
+    const auto count = std::min<std::size_t>(part->size(), subset_size);
+    for (std::size_t position = 0; position < count; ++position) {
+      subset.push_back((*part)[position].second);
+    }
+  }
+  return subset;
+}
+
+std::optional<std::uint32_t> choose_upstream(const route_view& view, spill_counters& spill,
+                                             std::span<const std::uint64_t> tried,
+                                             support::time_point now,
+                                             support::random_source& random) {
+  const eligibility strict{tried, ejections_in_force(view, now), now};
+  if (const auto chosen = choose(view, spill, strict, random)) {
+    return chosen;
+  }
+  // An ejected upstream is better than none.
+  return choose(view, spill, {tried, 0, now}, random);
+}
+
+void begin_attempt(upstream_load& load) {
+  load.own_in_flight.fetch_add(1, relaxed);
+}
+
+void end_attempt(upstream_load& load) {
+  load.own_in_flight.fetch_sub(1, relaxed);
+}
+
+void learn_load(upstream_load& load, const load_report& report, support::time_point now) {
+  load.in_flight.store(report.in_flight, relaxed);
+  load.queued.store(report.queued, relaxed);
+  load.limit.store(report.limit, relaxed);
+  load.service_time_us.store(report.service_time_us, relaxed);
+  load.own_when_reported.store(load.own_in_flight.load(relaxed), relaxed);
+  load.reported_ms.store(milliseconds_of(now), relaxed);
+}
+
+void learn_result(upstream_load& load, bool failed, support::time_point now) {
+  const auto before = load.failure_part.load(relaxed);
+  const std::uint32_t target = failed ? failure_scale : 0;
+  const auto after = before + target / (1U << failure_shift) - before / (1U << failure_shift);
+  load.failure_part.store(after, relaxed);
+  const auto replies = load.replies.fetch_add(1, relaxed) + 1;
+  if (!failed) {
+    if (after < outlier_part / 4) {
+      load.ejections.store(0, relaxed);
+    }
+    return;
+  }
+  if (replies < least_replies || after < outlier_part || is_ejected(load, now)) {
+    return;
+  }
+  const auto times = std::min<std::uint32_t>(load.ejections.fetch_add(1, relaxed), 5);
+  const auto span = std::min(longest_ejection_ms, first_ejection_ms << times);
+  // Zero stands for never.
+  load.ejected_until_ms.store((milliseconds_of(now) + span) | 1U, relaxed);
+}
+
+bool is_ejected(const upstream_load& load, support::time_point now) {
+  const auto until = load.ejected_until_ms.load(relaxed);
+  return until != 0 && static_cast<std::int32_t>(until - milliseconds_of(now)) > 0;
+}
+
+double load_estimate(const upstream& candidate, support::time_point now) {
+  const auto& load = *candidate.load;
+  const auto own = load.own_in_flight.load(relaxed);
+  const auto limit = load.limit.load(relaxed);
+  const double slots = std::max<std::uint32_t>(1, limit == 0 ? candidate.slots : limit);
+  const auto age = milliseconds_of(now) - load.reported_ms.load(relaxed);
+  if (limit == 0 || age >= report_lifetime_ms) {
+    return (own + 1.0) / slots;
+  }
+  const double reported = load.in_flight.load(relaxed) + load.queued.load(relaxed);
+  const double since = static_cast<double>(own) - load.own_when_reported.load(relaxed);
+  const double trust = 1.0 - static_cast<double>(age) / report_lifetime_ms;
+  const double expected = std::max<double>(own, (reported + since) * trust + own * (1.0 - trust));
+  return (expected + 1.0) / slots;
+}
+
+} // namespace acaciasill::decide
--- /dev/null
+++ b/lib/decide/share_allocation.cpp
@@ -0,0 +1,106 @@
+#include "share_allocation.h"
+
+#include <algorithm>
+
+namespace acaciasill::decide {
+
+namespace {
+
+constexpr unsigned rank_count = 1U << rank_bits;
+constexpr unsigned buckets_in_rank = bucket_count / rank_count;
+// Rounds of halving that find the level to which organisations are filled.
+constexpr int fill_rounds = 40;
+
+double demand_of_rank(const organisation_demand& demand, unsigned rank) {
+  double sum = 0.0;
+  for (unsigned bucket = 0; bucket < buckets_in_rank; ++bucket) {
+    sum += demand.offered[rank * buckets_in_rank + bucket];
+  }
+  return sum;
+}
+
+// What an organisation still asks for in a rank, when its calls up to `granted` are admitted;
+// `above` is its demand of the more important ranks.
+double missing_in_rank(double above, double in_rank, double granted) {
+  return std::clamp(above + in_rank - granted, 0.0, in_rank);
+}
+
+// The level at which sum(min(missing, level * weight)) equals the rest.
+double fill_level(const std::vector<share_claim>& claims, double rest) {
+  double low = 0.0;
+  double high = 0.0;
+  for (const auto& claim : claims) {
+    high = std::max(high, claim.missing / claim.weight);
+  }
+  for (int round = 0; round < fill_rounds; ++round) {
+    const double middle = (low + high) / 2.0;
+    double sum = 0.0;
+    for (const auto& claim : claims) {
+      sum += std::min(claim.missing, middle * claim.weight);
+    }
+    (sum > rest ? high : low) = middle;
+  }
+  return low;
+}
+
+// Grants the rest of the budget in one rank; returns what is left of it.
+double grant_rank(threshold_controller& controller, unsigned rank, double rest) {
+  double sum = 0.0;
+  for (auto& claim : controller.claims) {
+    const double in_rank = demand_of_rank(controller.demand[claim.organisation], rank);
+    claim.missing = missing_in_rank(claim.above, in_rank, claim.granted);
+    claim.above += in_rank;
+    sum += claim.missing;
+  }
+  const double level = sum <= rest ? -1.0 : fill_level(controller.claims, rest);
+  for (auto& claim : controller.claims) {
+    claim.granted += level < 0.0 ? claim.missing : std::min(claim.missing, level * claim.weight);
+  }
+  return std::max(0.0, rest - sum);
+}
+
+} // namespace
+
+level threshold_for(const organisation_demand& demand, double calls) {
+  if (calls >= demand.total) {
+    return accept_all;
+  }
+  double rest = calls;
+  for (unsigned bucket = 0; bucket < bucket_count; ++bucket) {
+    const double offered = demand.offered[bucket];
+    if (offered <= rest) {
+      rest -= offered;
+      continue;
+    }
+    const double part = rest / offered;
+    const auto within = static_cast<level>(part * static_cast<double>(level{1} << bucket_shift));
+    const auto start = static_cast<level>(bucket) << bucket_shift;
+    return start + within == 0 ? 0 : start + within - 1;
+  }
+  return accept_all;
+}
+
+void allocate_shares(gate& state, const gate_view& view, threshold_controller& controller) {
+  double rest = controller.budget;
+  controller.claims.clear();
+  for (const auto index : controller.active) {
+    if (index >= view.organisations.size()) {
+      continue;
+    }
+    const auto& share = view.organisations[index];
+    const double granted =
+        std::min(controller.demand[index].total, share.guaranteed * controller.budget);
+    rest -= granted;
+    controller.claims.push_back({index, share.weight, granted, 0.0, 0.0});
+  }
+  rest = std::max(0.0, rest);
+  for (unsigned rank = 0; rank < rank_count && rest > 0.0; ++rank) {
+    rest = grant_rank(controller, rank, rest);
+  }
+  for (const auto& claim : controller.claims) {
+    const auto threshold = threshold_for(controller.demand[claim.organisation], claim.granted);
+    state.organisations[claim.organisation].threshold.store(threshold, std::memory_order_relaxed);
+  }
+}
+
+} // namespace acaciasill::decide
--- /dev/null
+++ b/lib/decide/share_allocation.h
@@ -0,0 +1,18 @@
+#ifndef ACACIASILL_LIB_DECIDE_SHARE_ALLOCATION_H
+#define ACACIASILL_LIB_DECIDE_SHARE_ALLOCATION_H
+
+#include "acaciasill/decide/threshold_controller.h"
+
+namespace acaciasill::decide {
+
+// Divides the controller's budget among the active organisations and writes their thresholds:
+// first each one's guaranteed part, by its own most important levels; then the rest rank by rank,
+// by weight within the rank where it runs out.
+void allocate_shares(gate& state, const gate_view& view, threshold_controller& controller);
+
+// The threshold that admits about this many calls of a period.
+level threshold_for(const organisation_demand& demand, double calls);
+
+} // namespace acaciasill::decide
+
+#endif
--- /dev/null
+++ b/lib/decide/wait_queue.cpp
@@ -0,0 +1,292 @@
+#include "acaciasill/decide/wait_queue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+#include "wait_queue_state.h"
+
+namespace acaciasill::decide {
+
+namespace {
+
+constexpr auto relaxed = std::memory_order_relaxed;
+
+// Keys of the guaranteed tournament: under the guarantee, due at a time, not under it.
+constexpr std::uint64_t due_later = std::uint64_t{1} << 62U;
+constexpr std::uint64_t above_guarantee = std::uint64_t{1} << 63U;
+// How often a choice is repeated where other threads change the counters beneath it.
+constexpr int refresh_attempts = 4;
+
+std::uint64_t guaranteed_key(const wait_queue_state& queue, const gate& state,
+                             const gate_view& view, std::uint32_t organisation,
+                             support::time_point now) {
+  const double share = view.organisations[organisation].guaranteed;
+  const double slots = share * static_cast<double>(state.limit.load(relaxed));
+  const auto used = static_cast<double>(state.organisations[organisation].in_flight.load(relaxed));
+  if (used >= slots) {
+    return above_guarantee;
+  }
+  if (slots >= 1.0) {
+    return static_cast<std::uint64_t>(used / slots * 1e9);
+  }
+  const auto due = queue.organisations[organisation].next_guaranteed;
+  if (due <= now) {
+    return 0;
+  }
+  return due_later + static_cast<std::uint64_t>(due.time_since_epoch().count());
+}
+
+std::uint64_t lent_key(const gate& state, const gate_view& view, std::uint32_t organisation,
+                       level best) {
+  const auto& share = view.organisations[organisation];
+  const double slots = share.guaranteed * static_cast<double>(state.limit.load(relaxed));
+  const auto used = static_cast<double>(state.organisations[organisation].in_flight.load(relaxed));
+  const double lent = std::max(0.0, used - slots) / share.weight;
+  const auto scaled = static_cast<std::uint64_t>(std::min(lent * 1024.0, 0x1.0p28));
+  return (std::uint64_t{rank_of(best)} << 61U) | (scaled << 32U) | best;
+}
+
+// The places of the queue that are the organisation's own.
+double own_places(const gate_view& view, std::uint32_t organisation) {
+  return std::max(1.0, view.organisations[organisation].guaranteed * view.queue_places);
+}
+
+// Smaller keys lose a place first.
+std::uint64_t victim_key(const gate_view& view, std::uint32_t organisation, std::size_t waiting,
+                         level worst) {
+  const bool over = static_cast<double>(waiting) > own_places(view, organisation);
+  return (over ? 0 : std::uint64_t{1} << 32U) | static_cast<level>(~worst);
+}
+
+const queue_place& worst_of(const order_set& calls) {
+  // Of the least important step the oldest call goes, since its caller has waited the longest.
+  const auto step = std::prev(calls.end())->request.level >> step_shift;
+  queue_place probe;
+  probe.request.level = step << step_shift;
+  return *calls.lower_bound(probe);
+}
+
+const queue_place& best_of(const order_set& calls, bool overloaded) {
+  if (!overloaded) {
+    return *calls.begin();
+  }
+  queue_place probe;
+  probe.request.level = calls.begin()->request.level;
+  probe.sequence = ~std::uint64_t{0};
+  return *std::prev(calls.upper_bound(probe));
+}
+
+void refresh(wait_queue_state& queue, const gate& state, const gate_view& view,
+             std::uint32_t organisation, support::time_point now) {
+  const auto& calls = queue.organisations[organisation].calls;
+  if (calls.empty()) {
+    queue.guaranteed.set(organisation, tournament::absent);
+    queue.lent.set(organisation, tournament::absent);
+    queue.victims.set(organisation, tournament::absent);
+    return;
+  }
+  queue.guaranteed.set(organisation, guaranteed_key(queue, state, view, organisation, now));
+  queue.lent.set(organisation, lent_key(state, view, organisation, calls.begin()->request.level));
+  const auto worst = std::prev(calls.end())->request.level;
+  queue.victims.set(organisation, victim_key(view, organisation, calls.size(), worst));
+}
+
+// The keys depend on the limit; a change of it is rare beside calls.
+void refresh_for_limit(wait_queue_state& queue, const gate& state, const gate_view& view,
+                       support::time_point now) {
+  const auto limit = state.limit.load(relaxed);
+  if (limit == queue.keyed_limit) {
+    return;
+  }
+  queue.keyed_limit = limit;
+  for (std::uint32_t organisation = 0; organisation < queue.organisations.size(); ++organisation) {
+    if (!queue.organisations[organisation].calls.empty()) {
+      refresh(queue, state, view, organisation, now);
+    }
+  }
+}
+
+queued_call take_out(wait_queue_state& queue, gate& state, const gate_view& view,
+                     const queue_place& chosen, support::time_point now) {
+  auto& place = const_cast<queue_place&>(chosen);
+  const queued_call call{place.request, place.handle, now - place.enqueued};
+  auto& calls = queue.organisations[place.request.organisation].calls;
+  calls.erase(calls.iterator_to(place));
+  queue.expiry.erase(queue.expiry.iterator_to(place));
+  place.used = false;
+  ++place.generation;
+  queue.free_places.push_back(static_cast<std::uint32_t>(&place - queue.places.data()));
+  state.waiting.fetch_sub(1, relaxed);
+  const auto waited = std::chrono::duration_cast<support::microseconds>(call.waited).count();
+  state.queue_delay_us.fetch_add(static_cast<std::uint64_t>(std::max<std::int64_t>(0, waited)),
+                                 relaxed);
+  refresh(queue, state, view, call.request.organisation, now);
+  return call;
+}
+
+void drop(wait_queue_state& queue, gate& state, const gate_view& view, const queue_place& place,
+          support::result_code code, support::time_point now, std::vector<dropped_call>& dropped) {
+  state.dropped.fetch_add(1, relaxed);
+  dropped.push_back({take_out(queue, state, view, place, now), code});
+}
+
+void refuse_entry(gate& state, const request_facts& request, std::uint64_t handle,
+                  support::result_code code, std::vector<dropped_call>& dropped) {
+  state.dropped.fetch_add(1, relaxed);
+  dropped.push_back({{request, handle, {}}, code});
+}
+
+// Makes a place for a call where the queue is full; false where the call itself has to go.
+bool make_place(wait_queue_state& queue, gate& state, const gate_view& view,
+                const request_facts& request, support::time_point now,
+                std::vector<dropped_call>& dropped) {
+  const auto waiting = queue.organisations[request.organisation].calls.size();
+  const auto own_key = victim_key(view, request.organisation, waiting + 1, request.level);
+  if (queue.victims.best_key() >= own_key) {
+    return false;
+  }
+  const auto& calls = queue.organisations[queue.victims.winner()].calls;
+  drop(queue, state, view, worst_of(calls), support::result_code::queue_full, now, dropped);
+  return true;
+}
+
+// The organisation whose call runs next; some call waits.
+std::uint32_t choose_organisation(wait_queue_state& queue, const gate& state, const gate_view& view,
+                                  support::time_point now) {
+  const auto time_key = due_later + static_cast<std::uint64_t>(now.time_since_epoch().count());
+  // A key is out of date where another thread has changed the counters.
+  for (int attempt = 0; attempt < refresh_attempts; ++attempt) {
+    const auto organisation = queue.guaranteed.winner();
+    refresh(queue, state, view, organisation, now);
+    const auto key = queue.guaranteed.best_key();
+    const bool under = key < due_later || (key < above_guarantee && key <= time_key);
+    if (!under) {
+      break;
+    }
+    if (queue.guaranteed.winner() == organisation) {
+      return organisation;
+    }
+  }
+  for (int attempt = 0; attempt < refresh_attempts; ++attempt) {
+    const auto organisation = queue.lent.winner();
+    refresh(queue, state, view, organisation, now);
+    if (queue.lent.winner() == organisation) {
+      return organisation;
+    }
+  }
+  return queue.lent.winner();
+}
+
+// Notes when an organisation with a guarantee of less than one slot is due again.
+void note_guaranteed(wait_queue_state& queue, const gate& state, const gate_view& view,
+                     std::uint32_t organisation, support::time_point now) {
+  const double slots =
+      view.organisations[organisation].guaranteed * static_cast<double>(state.limit.load(relaxed));
+  if (slots <= 0.0 || slots >= 1.0) {
+    return;
+  }
+  const auto service_ns = static_cast<double>(expected_service_time(state).count());
+  const auto wait = std::min(service_ns / slots, 1e12);
+  queue.organisations[organisation].next_guaranteed =
+      now + support::nanoseconds(static_cast<std::int64_t>(wait));
+}
+
+} // namespace
+
+wait_queue::wait_queue(std::uint32_t organisation_count, std::uint32_t most_places)
+    : state_(std::make_unique<wait_queue_state>(organisation_count, most_places)) {}
+wait_queue::wait_queue(wait_queue&&) noexcept = default;
+wait_queue& wait_queue::operator=(wait_queue&&) noexcept = default;
+wait_queue::~wait_queue() = default;
+
+std::optional<queue_ticket> enqueue(wait_queue& queue, gate& state, const gate_view& view,
+                                    const request_facts& request, std::uint64_t handle,
+                                    support::time_point now, std::vector<dropped_call>& dropped) {
+  auto& inner = queue.state();
+  assert(request.organisation < inner.organisations.size() && "admit checks the organisation");
+  const auto drop_at =
+      std::min(now + view.queue_bound, request.deadline - expected_service_time(state));
+  if (drop_at <= now) {
+    refuse_entry(state, request, handle, support::result_code::queue_timeout, dropped);
+    return std::nullopt;
+  }
+  drop_expired(queue, state, view, now, dropped);
+  const auto bound = std::min<std::size_t>(view.queue_places, inner.places.size());
+  if (size(queue) >= bound && !make_place(inner, state, view, request, now, dropped)) {
+    refuse_entry(state, request, handle, support::result_code::queue_full, dropped);
+    return std::nullopt;
+  }
+  const auto index = inner.free_places.back();
+  inner.free_places.pop_back();
+  auto& place = inner.places[index];
+  place.request = request;
+  place.handle = handle;
+  place.enqueued = now;
+  place.drop_at = drop_at;
+  place.sequence = ++inner.last_sequence;
+  place.used = true;
+  inner.organisations[request.organisation].calls.insert(place);
+  inner.expiry.insert(place);
+  state.waiting.fetch_add(1, relaxed);
+  refresh(inner, state, view, request.organisation, now);
+  return queue_ticket{(std::uint64_t{place.generation} << 32U) | index};
+}
+
+std::optional<queued_call> next_from_queue(wait_queue& queue, gate& state, const gate_view& view,
+                                           support::time_point now,
+                                           std::vector<dropped_call>& dropped,
+                                           std::optional<std::uint32_t> finished_organisation) {
+  auto& inner = queue.state();
+  drop_expired(queue, state, view, now, dropped);
+  refresh_for_limit(inner, state, view, now);
+  if (finished_organisation && *finished_organisation < inner.organisations.size()) {
+    refresh(inner, state, view, *finished_organisation, now);
+  }
+  if (inner.expiry.empty()) {
+    return std::nullopt;
+  }
+  const auto organisation = choose_organisation(inner, state, view, now);
+  if (!take_slot(state, organisation)) {
+    return std::nullopt;
+  }
+  note_guaranteed(inner, state, view, organisation, now);
+  const auto& calls = inner.organisations[organisation].calls;
+  return take_out(inner, state, view, best_of(calls, state.overloaded.load(relaxed)), now);
+}
+
+void drop_expired(wait_queue& queue, gate& state, const gate_view& view, support::time_point now,
+                  std::vector<dropped_call>& dropped) {
+  auto& inner = queue.state();
+  while (!inner.expiry.empty() && inner.expiry.begin()->drop_at <= now) {
+    drop(inner, state, view, *inner.expiry.begin(), support::result_code::queue_timeout, now,
+         dropped);
+  }
+}
+
+std::optional<support::time_point> next_drop_time(const wait_queue& queue) {
+  const auto& expiry = queue.state().expiry;
+  return expiry.empty() ? std::nullopt : std::optional(expiry.begin()->drop_at);
+}
+
+bool remove(wait_queue& queue, gate& state, const gate_view& view, queue_ticket ticket,
+            support::time_point now) {
+  auto& inner = queue.state();
+  const auto index = static_cast<std::uint32_t>(ticket.value);
+  if (index >= inner.places.size()) {
+    return false;
+  }
+  const auto& place = inner.places[index];
+  if (!place.used || place.generation != ticket.value >> 32U) {
+    return false;
+  }
+  take_out(inner, state, view, place, now);
+  return true;
+}
+
+std::uint32_t size(const wait_queue& queue) {
+  const auto& inner = queue.state();
+  return static_cast<std::uint32_t>(inner.places.size() - inner.free_places.size());
+}
+
+} // namespace acaciasill::decide
--- /dev/null
+++ b/lib/decide/wait_queue_state.h
@@ -0,0 +1,83 @@
+#ifndef ACACIASILL_LIB_DECIDE_WAIT_QUEUE_STATE_H
+#define ACACIASILL_LIB_DECIDE_WAIT_QUEUE_STATE_H
+
+#include <boost/intrusive/set.hpp>
+
+#include "acaciasill/decide/wait_queue.h"
+#include "tournament.h"
+
+namespace acaciasill::decide {
+
+using order_hook = boost::intrusive::set_base_hook<boost::intrusive::tag<struct by_order>>;
+using expiry_hook = boost::intrusive::set_base_hook<boost::intrusive::tag<struct by_expiry>>;
+
+// One place of the queue.
+struct queue_place : order_hook, expiry_hook {
+  request_facts request;
+  std::uint64_t handle = 0;
+  support::time_point enqueued;
+  support::time_point drop_at;
+  std::uint64_t sequence = 0;
+  // Rises with each use of the place, so that tickets are never reused.
+  std::uint32_t generation = 0;
+  bool used = false;
+};
+
+// Levels that share a step count as equally important; each half of a class has 16.
+inline constexpr unsigned step_shift = hash_bits - 4;
+
+// Orders an organisation's calls by step of level, then by arrival.
+struct less_by_order {
+  bool operator()(const queue_place& left, const queue_place& right) const {
+    const auto left_step = left.request.level >> step_shift;
+    const auto right_step = right.request.level >> step_shift;
+    return left_step != right_step ? left_step < right_step : left.sequence < right.sequence;
+  }
+};
+
+// Orders all calls by the time at which they are dropped.
+struct less_by_expiry {
+  bool operator()(const queue_place& left, const queue_place& right) const {
+    return left.drop_at != right.drop_at ? left.drop_at < right.drop_at
+                                         : left.sequence < right.sequence;
+  }
+};
+
+using order_set = boost::intrusive::set<queue_place, boost::intrusive::base_hook<order_hook>,
+                                        boost::intrusive::compare<less_by_order>>;
+using expiry_set = boost::intrusive::set<queue_place, boost::intrusive::base_hook<expiry_hook>,
+                                         boost::intrusive::compare<less_by_expiry>>;
+
+// The waiting calls of one organisation.
+struct organisation_queue {
+  order_set calls;
+  // For a guarantee of less than one slot: when the next slot is due.
+  support::time_point next_guaranteed{};
+};
+
+struct wait_queue_state {
+  wait_queue_state(std::uint32_t organisation_count, std::uint32_t most_places)
+      : places(most_places), organisations(organisation_count), guaranteed(organisation_count),
+        lent(organisation_count), victims(organisation_count) {
+    free_places.reserve(most_places);
+    for (std::uint32_t place = most_places; place > 0; --place) {
+      free_places.push_back(place - 1);
+    }
+  }
+
+  std::vector<queue_place> places;
+  std::vector<std::uint32_t> free_places;
+  std::vector<organisation_queue> organisations;
+  expiry_set expiry;
+  // Organisations by their claim on guaranteed slots, on lent slots, and by who loses a place.
+  tournament guaranteed;
+  tournament lent;
+  tournament victims;
+  std::uint64_t last_sequence = 0;
+  // The limit that the keys were computed for.
+  std::uint32_t keyed_limit = 0;
+};
+
+} // namespace acaciasill::decide
+
+#endif
