--- /dev/null
+++ b/lib/net/http_load_connection.cpp
@@ -0,0 +1,206 @@
+#include "acaciasill/net/http_load_connection.h"
+
+#include <strings.h>
+
+#include <asio/write.hpp>
+#include <http_parser.h>
+
+namespace acaciasill::net {
+namespace {
+
+constexpr std::size_t read_buffer_bytes = 16384;
+
+bool same_name(const std::string& left, const char* right) {
+  return strcasecmp(left.c_str(), right) == 0;
+}
+
+} // namespace
+
+// The state of the response that is being read.
+struct http_load_connection::parser {
+  http_parser state{};
+  load_response response;
+  std::string field;
+  std::string value;
+  bool in_value = false;
+  bool complete = false;
+
+  void reset() {
+    http_parser_init(&state, HTTP_RESPONSE);
+    state.data = this;
+    response = load_response{};
+    field.clear();
+    value.clear();
+    in_value = false;
+    complete = false;
+  }
+
+  void store_header() {
+    if (same_name(field, "x-outcome")) {
+      response.outcome = value;
+    }
+    if (same_name(field, "x-result-code")) {
+      response.result_code = value;
+    }
+    field.clear();
+    value.clear();
+    in_value = false;
+  }
+
+  static parser& of(http_parser* state) { return *static_cast<parser*>(state->data); }
+
+  static int on_field(http_parser* state, const char* data, std::size_t size) {
+    auto& self = of(state);
+    if (self.in_value) {
+      self.store_header();
+    }
+    self.field.append(data, size);
+    return 0;
+  }
+
+  static int on_value(http_parser* state, const char* data, std::size_t size) {
+    auto& self = of(state);
+    self.in_value = true;
+    self.value.append(data, size);
+    return 0;
+  }
+
+  static int on_headers(http_parser* state) {
+    of(state).store_header();
+    return 0;
+  }
+
+  static int on_body(http_parser* state, const char* data, std::size_t size) {
+    of(state).response.body.append(data, size);
+    return 0;
+  }
+
+  static int on_complete(http_parser* state) {
+    auto& self = of(state);
+    self.complete = true;
+    self.response.status = state->status_code;
+    self.response.keep_alive = http_should_keep_alive(state) != 0;
+    return 0;
+  }
+
+  // Takes bytes in; false where they are no HTTP response.
+  bool feed(const char* data, std::size_t size) {
+    static const http_parser_settings settings = [] {
+      http_parser_settings made;
+      http_parser_settings_init(&made);
+      made.on_header_field = &on_field;
+      made.on_header_value = &on_value;
+      made.on_headers_complete = &on_headers;
+      made.on_body = &on_body;
+      made.on_message_complete = &on_complete;
+      return made;
+    }();
+    return http_parser_execute(&state, &settings, data, size) == size;
+  }
+};
+
+http_load_connection::http_load_connection(asio::io_context& io, asio::ip::tcp::endpoint target)
+    : socket_(io), target_(std::move(target)), parser_(std::make_unique<parser>()),
+      buffer_(read_buffer_bytes, '\0') {}
+
+http_load_connection::~http_load_connection() = default;
+
+void http_load_connection::send(std::string request, on_response callback) {
+  request_ = std::move(request);
+  callback_ = std::move(callback);
+  parser_->reset();
+  if (open_) {
+    write();
+    return;
+  }
+  connect();
+}
+
+void http_load_connection::connect() {
+  socket_ = asio::ip::tcp::socket(socket_.get_executor());
+  socket_.async_connect(target_, [self = shared_from_this()](const asio::error_code& error) {
+    if (!self->callback_) {
+      return;
+    }
+    if (error) {
+      self->finish(load_end::not_sent);
+      return;
+    }
+    asio::error_code ignored;
+    self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    self->open_ = true;
+    self->write();
+  });
+}
+
+void http_load_connection::write() {
+  asio::async_write(socket_, asio::buffer(request_),
+                    [self = shared_from_this()](const asio::error_code& error, std::size_t) {
+                      if (!self->callback_) {
+                        return;
+                      }
+                      if (error) {
+                        self->finish(load_end::broken);
+                        return;
+                      }
+                      self->read();
+                    });
+}
+
+void http_load_connection::read() {
+  socket_.async_read_some(
+      asio::buffer(buffer_),
+      [self = shared_from_this()](const asio::error_code& error, std::size_t size) {
+        if (!self->callback_) {
+          return;
+        }
+        if (error || !self->parser_->feed(self->buffer_.data(), size)) {
+          self->finish(load_end::broken);
+          return;
+        }
+        if (self->parser_->complete) {
+          self->finish(load_end::answered);
+          return;
+        }
+        self->read();
+      });
+}
+
+void http_load_connection::finish(load_end end) {
+  auto response = std::move(parser_->response);
+  response.end = end;
+  if (end != load_end::answered || !response.keep_alive) {
+    close();
+  }
+  const auto callback = std::exchange(callback_, nullptr);
+  callback(std::move(response));
+}
+
+void http_load_connection::give_up() {
+  if (callback_) {
+    finish(load_end::given_up);
+    return;
+  }
+  close();
+}
+
+void http_load_connection::close() {
+  asio::error_code ignored;
+  socket_.close(ignored);
+  open_ = false;
+}
+
+std::string format_request(const std::string& method, const std::string& host,
+                           const std::string& target, const std::string& header_lines,
+                           const std::string& body) {
+  std::string text;
+  text.reserve(128 + target.size() + header_lines.size() + body.size());
+  text.append(method).append(" ").append(target).append(" HTTP/1.1\r\nhost: ").append(host);
+  text.append("\r\n").append(header_lines);
+  if (!body.empty() || method == "POST" || method == "PUT") {
+    text.append("content-length: ").append(std::to_string(body.size())).append("\r\n");
+  }
+  return text.append("\r\n").append(body);
+}
+
+} // namespace acaciasill::net
