--- a/include/acaciasill/net/load_worker.h
+++ b/include/acaciasill/net/load_worker.h
@@ -50,7 +50,8 @@
             const std::shared_ptr<http_load_connection>& connection);
   std::string request_text(const call& one, const target& where) const;
   void on_response(const call_pointer& one, target& where,
-                   const std::shared_ptr<http_load_connection>& connection, load_response response);
+                   const std::shared_ptr<http_load_connection>& connection,
+                   const load_response& response);
   void note_attempt(const call& one, const load_response& response, call_result result);
   call_result judge(const call& one, const load_response& response);
   void end_attempt(const call_pointer& one, call_result result);
--- a/lib/net/load_worker.cpp
+++ b/lib/net/load_worker.cpp
@@ -217,8 +217,8 @@
   ++results_.tally(one->kind, one->phase).attempts;
   one->connection = connection;
   connection->send(request_text(*one, where),
-                   [this, one, &where, connection](load_response response) {
-                     on_response(one, where, connection, std::move(response));
+                   [this, one, &where, connection](const load_response& response) {
+                     on_response(one, where, connection, response);
                    });
 }
 
@@ -240,7 +240,7 @@
 
 void load_worker::on_response(const call_pointer& one, target& where,
                               const std::shared_ptr<http_load_connection>& connection,
-                              load_response response) {
+                              const load_response& response) {
   one->connection = nullptr;
   release(where, connection);
   const auto result = judge(*one, response);
