Add the platform client over libcurl

Requests run on a thread of their own with a bound on those under way and waiting, full jitter between attempts and a circuit breaker. Reads and object writes are repeated within their timeout. A write of rows goes out once and on a fresh connection: libcurl silently repeats a request on a kept connection that had died, and the second would be refused although the first had taken effect.

--- /dev/null
+++ b/lib/net/circuit_breaker.cpp
@@ -0,0 +1,56 @@
+#include "acaciasill/net/circuit_breaker.h"
+
+#include <algorithm>
+
+namespace acaciasill::net {
+namespace {
+
+constexpr std::uint32_t max_doublings = 20;
+
+// Half to the whole of a span, so that clients do not try in step.
+support::duration jittered(support::milliseconds span, support::random_source& random) {
+  const double part = 0.5 + support::uniform_unit(random) / 2.0;
+  return std::chrono::duration_cast<support::duration>(span * part);
+}
+
+} // namespace
+
+bool may_start(breaker_state& state, support::time_point now) {
+  if (!state.open) {
+    return true;
+  }
+  if (state.trial_in_flight || now < state.open_until) {
+    return false;
+  }
+  state.trial_in_flight = true;
+  return true;
+}
+
+void on_success(breaker_state& state) {
+  state = breaker_state{};
+}
+
+void on_failure(breaker_state& state, const breaker_settings& settings, support::time_point now,
+                support::random_source& random) {
+  ++state.failures_in_row;
+  if (state.open && !state.trial_in_flight) {
+    return; // A request that had started before it opened.
+  }
+  if (!state.open && state.failures_in_row < settings.failures) {
+    return;
+  }
+  state.open_for = state.open ? std::min(state.open_for * 2, settings.max_open) : settings.min_open;
+  state.open = true;
+  state.trial_in_flight = false;
+  state.open_until = now + jittered(state.open_for, random);
+}
+
+support::duration full_jitter(support::milliseconds base, support::milliseconds cap,
+                              std::uint32_t attempt, support::random_source& random) {
+  const std::uint64_t factor = std::uint64_t{1} << std::min(attempt, max_doublings);
+  const auto limit = std::min(cap, base * static_cast<std::int64_t>(factor));
+  const double part = support::uniform_unit(random);
+  return std::chrono::duration_cast<support::duration>(limit * part);
+}
+
+} // namespace acaciasill::net
--- /dev/null
+++ b/lib/net/platform_transfer.cpp
@@ -0,0 +1,143 @@
+#include "platform_transfer.h"
+
+#include <algorithm>
+#include <cassert>
+#include <new>
+#include <string_view>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+
+namespace acaciasill::net {
+namespace {
+
+constexpr std::size_t max_header_lines = 100;
+constexpr support::milliseconds connect_limit{1000};
+
+void ensure_curl_started() {
+  static const CURLcode started = curl_global_init(CURL_GLOBAL_DEFAULT);
+  assert(started == CURLE_OK && "libcurl starts");
+  (void)started;
+}
+
+// Errors that libcurl reports before it sends a byte of the request.
+bool is_before_sending(CURLcode code) {
+  return code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
+         code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL;
+}
+
+} // namespace
+
+platform_transfer::platform_transfer(const std::string& url, const platform_exchange& request,
+                                     support::milliseconds timeout, bool fresh_connection)
+    : body_(request.body) {
+  ensure_curl_started();
+  easy_.reset(curl_easy_init());
+  if (!easy_) {
+    throw std::bad_alloc();
+  }
+  CURL* easy = easy_.get();
+  // An Expect header would cost a round trip before each larger body.
+  curl_slist* list = curl_slist_append(nullptr, "Expect:");
+  for (const auto& field : request.headers) {
+    list = curl_slist_append(list, absl::StrCat(field.name, ": ", field.value).c_str());
+  }
+  headers_.reset(list);
+  curl_easy_setopt(easy, CURLOPT_URL, absl::StrCat(url, request.target).c_str());
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers_.get());
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(std::min(timeout, connect_limit).count()));
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh_connection ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &platform_transfer::append_body);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &platform_transfer::append_header);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+  if (request.method != "GET") {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body_.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body_.data());
+  }
+}
+
+transfer_result platform_transfer::take_result(CURLcode code) {
+  long status = 0;
+  long request_bytes = 0;
+  curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo(easy_.get(), CURLINFO_REQUEST_SIZE, &request_bytes);
+  transfer_result result;
+  result.maybe_sent = request_bytes > 0 && !is_before_sending(code);
+  if (code == CURLE_OK && status >= 200) {
+    response_.status = static_cast<std::uint16_t>(status);
+    result.response = std::move(response_);
+  }
+  return result;
+}
+
+std::size_t platform_transfer::append_body(const char* bytes, std::size_t size, std::size_t count,
+                                           void* transfer) {
+  auto& body = static_cast<platform_transfer*>(transfer)->response_.body;
+  const std::size_t total = size * count;
+  if (body.size() + total > max_platform_body_bytes) {
+    return 0; // libcurl ends the transfer with an error.
+  }
+  body.append(bytes, total);
+  return total;
+}
+
+std::size_t platform_transfer::append_header(const char* bytes, std::size_t size, std::size_t count,
+                                             void* transfer) {
+  auto& headers = static_cast<platform_transfer*>(transfer)->response_.headers;
+  const std::string line(bytes, size * count);
+  const auto colon = line.find(':');
+  if (colon != std::string::npos && headers.size() < max_header_lines) {
+    headers.push_back({line.substr(0, colon), std::string(absl::StripAsciiWhitespace(
+                                                  absl::string_view(line).substr(colon + 1)))});
+  }
+  return size * count;
+}
+
+transfer_multi::transfer_multi() {
+  ensure_curl_started();
+  multi_.reset(curl_multi_init());
+  if (!multi_) {
+    throw std::bad_alloc();
+  }
+}
+
+void transfer_multi::add(platform_transfer& transfer) {
+  curl_multi_add_handle(multi_.get(), transfer.handle());
+}
+
+void transfer_multi::remove(platform_transfer& transfer) {
+  curl_multi_remove_handle(multi_.get(), transfer.handle());
+}
+
+void transfer_multi::perform() {
+  int running = 0;
+  curl_multi_perform(multi_.get(), &running);
+}
+
+void transfer_multi::poll(support::milliseconds timeout) {
+  curl_multi_poll(multi_.get(), nullptr, 0, static_cast<int>(timeout.count()), nullptr);
+}
+
+void transfer_multi::wake() {
+  curl_multi_wakeup(multi_.get());
+}
+
+std::optional<transfer_multi::finished> transfer_multi::next_finished() {
+  int left = 0;
+  while (const CURLMsg* message = curl_multi_info_read(multi_.get(), &left)) {
+    if (message->msg == CURLMSG_DONE) {
+      return finished{message->easy_handle, message->data.result};
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace acaciasill::net
--- /dev/null
+++ b/lib/net/platform_transfer.h
@@ -0,0 +1,87 @@
+#ifndef ACACIASILL_LIB_NET_PLATFORM_TRANSFER_H
+#define ACACIASILL_LIB_NET_PLATFORM_TRANSFER_H
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <curl/curl.h>
+
+#include "acaciasill/net/platform_protocol.h"
+#include "acaciasill/support/time.h"
+
+namespace acaciasill::net {
+
+struct easy_deleter {
+  void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
+};
+
+struct multi_deleter {
+  void operator()(CURLM* handle) const { curl_multi_cleanup(handle); }
+};
+
+struct header_list_deleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+// How one HTTP transfer ended.
+struct transfer_result {
+  // The whole response, where one arrived.
+  std::optional<http_response> response;
+  // Whether a byte of the request may have reached the other side.
+  bool maybe_sent = true;
+};
+
+// One HTTP request and what has arrived of its response. It stays where it is, since libcurl holds
+// its address.
+class platform_transfer {
+public:
+  platform_transfer(const std::string& url, const platform_exchange& request,
+                    support::milliseconds timeout, bool fresh_connection);
+  platform_transfer(const platform_transfer&) = delete;
+  platform_transfer& operator=(const platform_transfer&) = delete;
+
+  CURL* handle() const { return easy_.get(); }
+
+  // What came of it; called once, after it has ended with the code.
+  transfer_result take_result(CURLcode code);
+
+private:
+  static std::size_t append_body(const char* bytes, std::size_t size, std::size_t count,
+                                 void* transfer);
+  static std::size_t append_header(const char* bytes, std::size_t size, std::size_t count,
+                                   void* transfer);
+
+  std::unique_ptr<CURL, easy_deleter> easy_;
+  std::unique_ptr<curl_slist, header_list_deleter> headers_;
+  std::string body_;
+  http_response response_;
+};
+
+// Runs transfers on one thread; wake may be called from others.
+class transfer_multi {
+public:
+  // A transfer that has ended.
+  struct finished {
+    CURL* handle = nullptr;
+    CURLcode code = CURLE_OK;
+  };
+
+  transfer_multi();
+
+  void add(platform_transfer& transfer);
+  void remove(platform_transfer& transfer);
+  void perform();
+  void poll(support::milliseconds timeout);
+  void wake();
+
+  // The next transfer that has ended, or nothing.
+  std::optional<finished> next_finished();
+
+private:
+  std::unique_ptr<CURLM, multi_deleter> multi_;
+};
+
+} // namespace acaciasill::net
+
+#endif
--- /dev/null
+++ b/unittests/net/circuit_breaker_test.cpp
@@ -0,0 +1,58 @@
+#include "acaciasill/net/circuit_breaker.h"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciasill::net;
+using acaciasill::support::duration;
+using acaciasill::support::milliseconds;
+using acaciasill::support::random_source;
+using acaciasill::support::time_point;
+
+TEST_CASE("the breaker opens after failures in a row and closes by one trial") {
+  const breaker_settings settings{3, milliseconds(100), milliseconds(150)};
+  random_source random(1);
+  breaker_state state;
+  time_point now{};
+  on_failure(state, settings, now, random);
+  on_failure(state, settings, now, random);
+  on_success(state);
+  on_failure(state, settings, now, random);
+  on_failure(state, settings, now, random);
+  CHECK(may_start(state, now));
+  on_failure(state, settings, now, random);
+  CHECK_FALSE(may_start(state, now));
+  CHECK_FALSE(may_start(state, now + milliseconds(49)));
+  now += milliseconds(100);
+  CHECK(may_start(state, now));
+  CHECK_FALSE(may_start(state, now));
+
+  on_failure(state, settings, now, random);
+  CHECK(state.open_for == milliseconds(150));
+  CHECK_FALSE(may_start(state, now + milliseconds(74)));
+  CHECK(may_start(state, now + milliseconds(150)));
+  on_success(state);
+  CHECK(may_start(state, now));
+  CHECK(may_start(state, now));
+}
+
+TEST_CASE("a late failure does not lengthen an open breaker") {
+  const breaker_settings settings{1, milliseconds(100), milliseconds(1000)};
+  random_source random(1);
+  breaker_state state;
+  on_failure(state, settings, time_point{}, random);
+  const auto until = state.open_until;
+  on_failure(state, settings, time_point{} + milliseconds(20), random);
+  CHECK(state.open_until == until);
+}
+
+TEST_CASE("full jitter stays below its doubled base and its cap") {
+  random_source random(1);
+  duration longest{0};
+  for (std::uint32_t i = 0; i < 1000; ++i) {
+    CHECK(full_jitter(milliseconds(50), milliseconds(2000), 0, random) < milliseconds(50));
+    CHECK(full_jitter(milliseconds(50), milliseconds(2000), 1, random) < milliseconds(100));
+    longest = std::max(longest, full_jitter(milliseconds(50), milliseconds(2000), 99, random));
+  }
+  CHECK(longest < milliseconds(2000));
+  CHECK(longest > milliseconds(1500));
+}
