Add membership, first contact, leaving and the spread of the configuration as a step machine

A daemon needs to know who lives, who leaves and what is in force, at a constant cost and with the platform or other data centres out of reach. The step takes one event and a time and appends actions; it probes one member a period, asks others before it suspects, gossips news a bounded number of times, compares digests for what gossip missed, and bridges data centres by duties that follow from rendezvous hashing and are safe when two hold them. A pause of the process is seen by its own monotonic clock: it raises the incarnation, accuses nobody and asks before it acts.

Ruled out: a suspicion of each member of a data centre that is cut off, since all of them would refute after the heal; one mark for each data centre does the same. Also ruled out: fetching the whole object on each change; peers send the part that differs.

--- a/include/acaciasill/control/messages.h
+++ b/include/acaciasill/control/messages.h
@@ -20,7 +20,7 @@
 inline constexpr std::size_t max_scopes = 48;
 inline constexpr std::size_t max_buckets = 32;
 inline constexpr std::size_t max_name_bytes = 64;
-inline constexpr std::size_t max_chunk_bytes = 960;
+inline constexpr std::size_t max_chunk_bytes = 800;
 
 // What is known of a member. At one incarnation a state later in this list replaces an earlier one.
 enum class member_state : std::uint8_t {
--- /dev/null
+++ b/lib/control/bridging.cpp
@@ -0,0 +1,134 @@
+#include "bridging.h"
+
+#include <algorithm>
+
+#include "duties.h"
+#include "membership.h"
+#include "records.h"
+#include "sending.h"
+#include "synchronising.h"
+
+namespace acaciasill::control {
+namespace {
+
+// The most datagrams that pass changes on in one tick.
+constexpr std::size_t max_forwarded_datagrams = 4;
+
+// Everybody in the data centre who could answer: members that have not left, and rows.
+std::vector<std::string> all_addresses(const node_state& state, const std::string& data_centre) {
+  std::set<std::string> addresses;
+  if (const auto rows = state.contact.seeds.find(data_centre); rows != state.contact.seeds.end()) {
+    addresses = rows->second;
+  }
+  const auto found = state.records.by_data_centre.find(data_centre);
+  if (found != state.records.by_data_centre.end()) {
+    for (const auto& address : found->second) {
+      if (find_record(state, address)->fields.state != member_state::left) {
+        addresses.insert(address);
+      }
+    }
+  }
+  return {addresses.begin(), addresses.end()};
+}
+
+// Own records that changed since the last time, those that tell of a leave first.
+std::vector<member> changes_since(const node_state& state, std::uint64_t forwarded) {
+  std::vector<member> changed;
+  const auto local = state.records.by_data_centre.find(state.settings.data_centre);
+  for (const auto& address : local->second) {
+    const record& entry = state.records.by_address.at(address);
+    if (entry.changed_at > forwarded) {
+      changed.push_back(stamp_record(state, entry));
+    }
+  }
+  std::stable_partition(changed.begin(), changed.end(),
+                        [](const member& fields) { return fields.draining; });
+  return changed;
+}
+
+void forward_changes(step_context& context, const std::string& data_centre, bridge& contact) {
+  node_state& state = context.state;
+  const configuration_state& configuration = state.configuration;
+  const auto targets = holders_of(state, data_centre, bridge_duty(state.settings.data_centre),
+                                  state.settings.bridges);
+  if (contact.forwarded != state.records.changes) {
+    const auto changed = changes_since(state, contact.forwarded);
+    contact.forwarded = state.records.changes;
+    for (const auto& target : targets) {
+      if (!changed.empty()) {
+        send_all_records(context, target, gossip{}, changed, max_forwarded_datagrams);
+      }
+    }
+  }
+  if (contact.offered < configuration.generation) {
+    contact.offered = configuration.generation;
+    for (const auto& target : targets) {
+      send_records(context, target,
+                   configuration_offer{configuration.generation, configuration.in_force.digest},
+                   {});
+    }
+  }
+}
+
+// Marks a data centre that has been silent for too long, or that is heard from again.
+void update_mark(step_context& context, const std::string& data_centre, const bridge& contact) {
+  node_state& state = context.state;
+  const support::time_point heard =
+      std::max(contact.last_heard.value_or(contact.held_since), contact.held_since);
+  const bool reachable = state.now - heard < state.settings.timings.silence;
+  const auto known = state.marks.find(data_centre);
+  const bool was_reachable = known == state.marks.end() || known->second.reachable;
+  // A holder that has heard nothing yet takes the others' word for a while.
+  if (reachable == was_reachable || (reachable && !contact.last_heard)) {
+    return;
+  }
+  const std::uint64_t epoch = known == state.marks.end() ? 0 : known->second.epoch;
+  apply_mark(context, data_centre_mark{data_centre, epoch + 1, reachable});
+}
+
+} // namespace
+
+std::vector<std::string> counterparts(step_context& context, const std::string& data_centre) {
+  node_state& state = context.state;
+  const auto found = state.duties.bridges.find(data_centre);
+  const auto silence = state.settings.timings.silence / 2;
+  const bool silent = found == state.duties.bridges.end() || !found->second.last_heard ||
+                      state.now - *found->second.last_heard > silence;
+  auto holders = holders_of(state, data_centre, bridge_duty(state.settings.data_centre),
+                            state.settings.bridges);
+  if (!silent && !holders.empty()) {
+    return choose_some(context.random, std::move(holders), 1);
+  }
+  return choose_some(context.random, all_addresses(state, data_centre), 2);
+}
+
+void run_bridges(step_context& context) {
+  node_state& state = context.state;
+  for (auto& [data_centre, contact] : state.duties.bridges) {
+    forward_changes(context, data_centre, contact);
+    if (state.now < contact.next) {
+      continue;
+    }
+    contact.next = state.now + jittered(context.random, state.settings.timings.bridge_period);
+    update_mark(context, data_centre, contact);
+    for (const auto& target : counterparts(context, data_centre)) {
+      open_bridge_sync(context, target, data_centre);
+    }
+  }
+}
+
+void note_heard(step_context& context, const std::string& from) {
+  node_state& state = context.state;
+  const record* entry = find_record(state, from);
+  if (entry == nullptr) {
+    return;
+  }
+  const auto found = state.duties.bridges.find(entry->fields.data_centre);
+  if (found == state.duties.bridges.end()) {
+    return;
+  }
+  found->second.last_heard = state.now;
+  update_mark(context, found->first, found->second);
+}
+
+} // namespace acaciasill::control
--- /dev/null
+++ b/lib/control/duties.cpp
@@ -0,0 +1,103 @@
+#include "duties.h"
+
+#include <algorithm>
+
+#include "acaciasill/support/hash.h"
+#include "records.h"
+
+namespace acaciasill::control {
+namespace {
+
+constexpr const char* head_duty = "head";
+constexpr const char* seeds_duty = "seeds";
+
+// A place in the order of holders. Members that drain come last: they hold duties where nobody
+// else is left.
+struct place {
+  bool draining = false;
+  std::uint64_t rank = 0;
+  std::string address;
+
+  auto operator<=>(const place&) const = default;
+};
+
+// Other data centres of which a member or a row of first contact is known.
+std::set<std::string> other_data_centres(const node_state& state) {
+  std::set<std::string> names;
+  for (const auto& [name, members] : state.records.by_data_centre) {
+    names.insert(name);
+  }
+  for (const auto& [name, addresses] : state.contact.seeds) {
+    names.insert(name);
+  }
+  names.erase(state.settings.data_centre);
+  return names;
+}
+
+bool holds(const node_state& state, const std::string& duty, std::size_t count) {
+  const auto holders = holders_of(state, state.settings.data_centre, duty, count);
+  return std::find(holders.begin(), holders.end(), state.settings.gossip_address) != holders.end();
+}
+
+void update_bridges(node_state& state) {
+  std::map<std::string, bridge> bridges;
+  for (const auto& name : other_data_centres(state)) {
+    if (!holds(state, bridge_duty(name), state.settings.bridges)) {
+      continue;
+    }
+    const auto known = state.duties.bridges.find(name);
+    bridge entry;
+    entry.held_since = state.now;
+    bridges[name] = known == state.duties.bridges.end() ? entry : known->second;
+  }
+  state.duties.bridges = std::move(bridges);
+}
+
+} // namespace
+
+std::vector<std::string> holders_of(const node_state& state, const std::string& data_centre,
+                                    const std::string& duty, std::size_t count) {
+  std::vector<place> ranks;
+  const std::uint64_t seed = support::hash64(duty);
+  const auto found = state.records.by_data_centre.find(data_centre);
+  if (found == state.records.by_data_centre.end()) {
+    return {};
+  }
+  for (const auto& address : found->second) {
+    const member& fields = state.records.by_address.at(address).fields;
+    if (fields.state == member_state::alive) {
+      ranks.push_back({fields.draining, support::hash64(address, seed), address});
+    }
+  }
+  const std::size_t wanted = std::min(count, ranks.size());
+  std::partial_sort(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(wanted),
+                    ranks.end());
+  std::vector<std::string> holders;
+  for (std::size_t index = 0; index < wanted; ++index) {
+    holders.push_back(ranks[index].address);
+  }
+  return holders;
+}
+
+std::string bridge_duty(const std::string& data_centre) {
+  return "bridge/" + data_centre;
+}
+
+void update_duties(step_context& context) {
+  node_state& state = context.state;
+  if (state.duties.worked_out_at == state.records.changes) {
+    return;
+  }
+  state.duties.worked_out_at = state.records.changes;
+  const std::string& own = state.settings.data_centre;
+  state.duties.polls_head = holds(state, head_duty, state.settings.pollers);
+  const auto keepers = holders_of(state, own, seeds_duty, state.settings.seed_rows);
+  const auto found = std::find(keepers.begin(), keepers.end(), state.settings.gossip_address);
+  state.duties.seed_row.reset();
+  if (found != keepers.end()) {
+    state.duties.seed_row = static_cast<std::uint32_t>(found - keepers.begin());
+  }
+  update_bridges(state);
+}
+
+} // namespace acaciasill::control
--- /dev/null
+++ b/lib/control/membership.cpp
@@ -0,0 +1,183 @@
+#include "membership.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "records.h"
+#include "sending.h"
+
+namespace acaciasill::control {
+namespace {
+
+constexpr const char* part = "membership";
+
+// Refutes a record about this node that would win over its own: it is from an earlier process at
+// this address, or others think that this node is gone.
+void refute(step_context& context, const member& heard) {
+  node_state& state = context.state;
+  const member& self = self_of(state);
+  if (!supersedes(heard, self) || self.state == member_state::left) {
+    return;
+  }
+  member changed = self;
+  changed.incarnation = heard.incarnation;
+  announce_self(state, std::move(changed), self.draining);
+  log(context, support::log_level::info, part,
+      "refuted a record of this node with incarnation " + std::to_string(heard.incarnation));
+}
+
+// Writes what a change means to the log; news of ordinary changes are not logged.
+void log_change(step_context& context, const member& heard, const record* before) {
+  const bool was_running = before != nullptr && is_running(before->fields);
+  if (was_running && !is_running(heard)) {
+    const char* end = heard.state == member_state::left ? " left" : " is dead";
+    log(context, support::log_level::info, part, "member " + heard.gossip_address + end);
+  }
+  if (!was_running && before != nullptr && is_running(heard)) {
+    log(context, support::log_level::info, part, "member " + heard.gossip_address + " is back");
+  }
+}
+
+// Whether news of a record go before all others: a leave has to be known at once.
+bool is_urgent(const member& heard) {
+  return heard.draining || heard.state == member_state::left;
+}
+
+bool expired(const node_state& state, const record& entry, support::duration limit) {
+  return state.now - entry.state_since >= limit;
+}
+
+// How long a suspected member has to refute; longer where news needs more rounds.
+support::duration suspicion_time(const node_state& state) {
+  return state.settings.timings.suspicion * std::max<std::uint32_t>(1, size_digits(state) - 1);
+}
+
+} // namespace
+
+void apply_record(step_context& context, const member& heard) {
+  node_state& state = context.state;
+  if (!is_valid_record(heard)) {
+    return;
+  }
+  if (is_self(state, heard.gossip_address)) {
+    refute(context, heard);
+    return;
+  }
+  const record* before = find_record(state, heard.gossip_address);
+  if (before == nullptr && (!is_running(heard) || state.records.by_address.size() >= max_records)) {
+    return;
+  }
+  if (before != nullptr && !supersedes(heard, before->fields)) {
+    return;
+  }
+  if (before == nullptr && !keeps_detail(state, heard)) {
+    return;
+  }
+  log_change(context, heard, before);
+  store_record(state, heard);
+  if (is_shared(state, heard)) {
+    spread_record(state, heard.gossip_address, is_urgent(heard));
+  }
+  if (heard.data_centre == state.settings.data_centre) {
+    update_wanted_services(state);
+  }
+}
+
+void apply_mark(step_context& context, const data_centre_mark& heard) {
+  node_state& state = context.state;
+  const auto known = state.marks.find(heard.data_centre);
+  const bool named = heard.data_centre.size() <= max_name_bytes && heard.epoch < max_incarnation;
+  if (!named || heard.data_centre == state.settings.data_centre ||
+      (known == state.marks.end() && state.marks.size() >= max_scopes * 4)) {
+    return;
+  }
+  const std::uint64_t epoch = known == state.marks.end() ? 0 : known->second.epoch;
+  const bool reachable = known == state.marks.end() || known->second.reachable;
+  if (std::pair(heard.epoch, !heard.reachable) <= std::pair(epoch, !reachable)) {
+    return;
+  }
+  state.marks[heard.data_centre] = heard;
+  state.view_changed = true;
+  spread_mark(state, heard.data_centre);
+  if (heard.reachable != reachable) {
+    log(context, support::log_level::warning, part,
+        "data centre " + heard.data_centre +
+            (heard.reachable ? " can be reached again" : " cannot be reached"));
+  }
+}
+
+void announce_self(node_state& state, member changed, bool urgent) {
+  ++changed.incarnation;
+  store_record(state, changed);
+  spread_record(state, changed.gossip_address, urgent);
+  update_wanted_services(state);
+}
+
+void suspect_member(step_context& context, const std::string& address) {
+  node_state& state = context.state;
+  const record* entry = find_record(state, address);
+  if (entry == nullptr || entry->fields.state != member_state::alive) {
+    return;
+  }
+  member changed = stamp_record(state, *entry);
+  changed.state = member_state::suspect;
+  store_record(state, changed);
+  spread_record(state, address, false);
+  log(context, support::log_level::info, part, "member " + address + " is suspected");
+}
+
+void expire_records(step_context& context) {
+  node_state& state = context.state;
+  const support::duration suspicion = suspicion_time(state);
+  const support::duration retention = state.settings.timings.gone_retention;
+  std::vector<std::string> dead;
+  std::vector<std::string> forgotten;
+  for (const auto& [address, entry] : state.records.by_address) {
+    if (is_self(state, address)) {
+      continue;
+    }
+    const bool local = entry.fields.data_centre == state.settings.data_centre;
+    if (local && entry.fields.state == member_state::suspect && expired(state, entry, suspicion)) {
+      dead.push_back(address);
+    }
+    if (!is_running(entry.fields) && expired(state, entry, retention)) {
+      forgotten.push_back(address);
+    }
+  }
+  for (const auto& address : dead) {
+    member changed = stamp_record(state, *find_record(state, address));
+    changed.state = member_state::dead;
+    apply_record(context, changed);
+  }
+  for (const auto& address : forgotten) {
+    erase_record(state, address);
+  }
+}
+
+void sweep_detail(node_state& state) {
+  std::vector<std::string> unwanted;
+  for (const auto& [address, entry] : state.records.by_address) {
+    if (is_running(entry.fields) && !keeps_detail(state, entry.fields)) {
+      unwanted.push_back(address);
+    }
+  }
+  for (const auto& address : unwanted) {
+    erase_record(state, address);
+  }
+}
+
+bool sender_is_behind(const node_state& state, const std::string& from, const datagram& message) {
+  const record* entry = find_record(state, from);
+  if (entry == nullptr) {
+    return false;
+  }
+  const member& known = entry->fields;
+  if (known.incarnation != message.sender_incarnation) {
+    return known.incarnation > message.sender_incarnation;
+  }
+  return known.start_nonce != message.sender_nonce || !is_running(known) ||
+         known.state == member_state::suspect;
+}
+
+} // namespace acaciasill::control
--- /dev/null
+++ b/lib/control/node.cpp
@@ -0,0 +1,299 @@
+#include "acaciasill/control/node.h"
+
+#include <algorithm>
+#include <variant>
+
+#include "bridging.h"
+#include "configuration_spread.h"
+#include "duties.h"
+#include "first_contact.h"
+#include "leaving.h"
+#include "membership.h"
+#include "node_state.h"
+#include "probing.h"
+#include "records.h"
+#include "sending.h"
+#include "synchronising.h"
+#include "views.h"
+
+namespace acaciasill::control {
+namespace {
+
+// How often one sender that is behind or unknown is told so.
+constexpr support::milliseconds stranger_period{1000};
+constexpr std::size_t max_strangers = 1024;
+
+// How often suspicions and the retention of gone members are looked at.
+constexpr support::milliseconds expiry_period{500};
+
+// How often detail that is no longer kept is dropped.
+constexpr support::milliseconds sweep_period{10000};
+
+// Begins a time of asking: duties wait until somebody has answered or the wait is over.
+void begin_refresh(step_context& context) {
+  node_state& state = context.state;
+  state.refresh_until = state.now + state.settings.timings.fresh_wait;
+  state.confirmed = false;
+  state.view_changed = true;
+  ask_for_configuration(context);
+}
+
+void start(step_context& context) {
+  node_state& state = context.state;
+  state.started = true;
+  member self;
+  self.gossip_address = state.settings.gossip_address;
+  self.call_address = state.settings.call_address;
+  self.name = state.settings.name;
+  self.data_centre = state.settings.data_centre;
+  self.start_nonce = context.random();
+  announce_self(state, std::move(self), false);
+  state.next_tick = state.now;
+  state.next_sync = state.now + jittered(context.random, state.settings.timings.sync_period);
+  begin_refresh(context);
+}
+
+// The process was stopped: what it took for granted may no longer be so. It raises its incarnation,
+// since others may think it dead, holds its own silence against nobody, and asks before it acts.
+void resume(step_context& context) {
+  node_state& state = context.state;
+  log(context, support::log_level::warning, "membership",
+      "the process was stopped for a while and asks before it acts");
+  member self = self_of(state);
+  if (self.state != member_state::left) {
+    announce_self(state, self, self.draining);
+  }
+  forget_probes(context);
+  forget_contact_requests(context);
+  state.contact.joined = false;
+  state.contact.next_ask = state.now;
+  for (auto& [data_centre, contact] : state.duties.bridges) {
+    contact.held_since = state.now;
+  }
+  begin_refresh(context);
+}
+
+// Whether an answer shows that the node is in touch again.
+void note_answer(node_state& state) {
+  if (!state.confirmed && state.contact.joined &&
+      (state.configuration.head_answered || !state.configuration.answered.empty())) {
+    state.confirmed = true;
+    state.view_changed = true;
+  }
+}
+
+void end_refresh(node_state& state) {
+  if (!state.confirmed && state.now >= state.refresh_until) {
+    state.confirmed = true;
+    state.view_changed = true;
+  }
+}
+
+// Tells a sender what it does not know about itself, or asks one that is unknown for its record.
+void answer_stranger(step_context& context, const std::string& from, const datagram& message) {
+  node_state& state = context.state;
+  const record* entry = find_record(state, from);
+  const bool behind = sender_is_behind(state, from, message);
+  const bool unknown = entry == nullptr && !std::holds_alternative<page>(message.body);
+  if (!behind && !unknown) {
+    return;
+  }
+  std::erase_if(state.strangers, [&](const auto& known) { return known.second <= state.now; });
+  if (state.strangers.contains(from) || state.strangers.size() >= max_strangers) {
+    return;
+  }
+  state.strangers[from] = state.now + stranger_period;
+  if (behind) {
+    send_correction(context, from, gossip{}, from);
+    return;
+  }
+  send_records(context, from, sync_digest{state.settings.data_centre, {}}, {});
+}
+
+struct body_handler {
+  step_context& context;
+  const std::string& from;
+
+  void operator()(const gossip&) const {}
+  void operator()(const probe& body) const { take_probe(context, from, body); }
+  void operator()(const probe_ack& body) const { take_ack(context, from, body); }
+  void operator()(const indirect_probe& body) const { take_indirect_probe(context, from, body); }
+  void operator()(const sync_digest& body) const { take_sync_digest(context, from, body); }
+  void operator()(const bucket_digests& body) const { take_bucket_digests(context, from, body); }
+  void operator()(const sync_records& body) const { take_sync_records(context, from, body); }
+  void operator()(const page_request& body) const { take_page_request(context, from, body); }
+  void operator()(const page& body) const { take_page(context, from, body); }
+  void operator()(const configuration_query&) const { take_configuration_query(context, from); }
+  void operator()(const configuration_offer& body) const {
+    take_configuration_offer(context, from, body);
+  }
+  void operator()(const chunk_request& body) const { take_chunk_request(context, from, body); }
+  void operator()(const chunk& body) const { take_chunk(context, from, body); }
+};
+
+void run_tick(step_context& context) {
+  node_state& state = context.state;
+  state.next_tick = state.now + state.settings.timings.tick;
+  end_refresh(state);
+  run_reports(context);
+  if (state.now >= state.next_expiry) {
+    state.next_expiry = state.now + expiry_period;
+    expire_records(context);
+  }
+  update_duties(context);
+  run_probes(context);
+  if (state.now >= state.next_sync) {
+    run_sync(context);
+  }
+  if (state.now >= state.next_sweep) {
+    state.next_sweep = state.now + sweep_period;
+    sweep_detail(state);
+  }
+  run_first_contact(context);
+  run_bridges(context);
+  run_configuration(context);
+  run_leave(context);
+}
+
+// Gossips what is new to a few random peers.
+void run_gossip(step_context& context) {
+  node_state& state = context.state;
+  if (state.rumours.records.empty() && state.rumours.marks.empty()) {
+    return;
+  }
+  auto peers = running_members(state, state.settings.data_centre);
+  for (const auto& peer :
+       choose_some(context.random, std::move(peers), state.settings.gossip_fanout)) {
+    if (state.rumours.records.empty() && state.rumours.marks.empty()) {
+      return;
+    }
+    send_body(context, peer, gossip{});
+  }
+}
+
+struct event_handler {
+  step_context& context;
+
+  void operator()(const node_started&) const {}
+  void operator()(const peer_received& input) const {
+    const datagram& message = input.message;
+    if (message.updates.size() > max_updates || message.marks.size() > max_scopes ||
+        is_self(context.state, input.from)) {
+      return;
+    }
+    for (const auto& fields : message.updates) {
+      apply_record(context, fields);
+    }
+    for (const auto& mark : message.marks) {
+      apply_mark(context, mark);
+    }
+    note_heard(context, input.from);
+    answer_stranger(context, input.from, message);
+    note_generation(context, input.from, message.configuration_generation);
+    std::visit(body_handler{context, input.from}, message.body);
+    note_answer(context.state);
+  }
+  void operator()(const platform_answer& answer) const {
+    if (!take_configuration_answer(context, answer)) {
+      take_contact_answer(context, answer);
+    }
+    note_answer(context.state);
+  }
+  void operator()(const timer_fired&) const {
+    if (context.state.now >= context.state.next_tick) {
+      run_tick(context);
+      run_gossip(context);
+    }
+  }
+  void operator()(const backend_announced& input) const { take_announcement(context, input); }
+  void operator()(const backend_reported& input) const { take_report(context, input); }
+  void operator()(const backend_left&) const { take_backend_left(context); }
+  void operator()(const call_finished& input) const { take_finished_call(context.state, input); }
+  void operator()(const shutdown_requested&) const { begin_leave(context); }
+  void operator()(const in_flight_reported& input) const {
+    context.state.leave.in_flight = input.calls;
+  }
+  void operator()(const services_configured& input) const {
+    node_state& state = context.state;
+    state.call_graph.clear();
+    for (const auto& entry : input.services) {
+      state.call_graph[entry.service].insert(entry.calls.begin(), entry.calls.end());
+    }
+    update_wanted_services(state);
+  }
+};
+
+} // namespace
+
+void node_state_deleter::operator()(node_state* state) const {
+  delete state;
+}
+
+node_state_ptr make_node(const node_settings& settings) {
+  node_state_ptr state(new node_state);
+  state->settings = settings;
+  return state;
+}
+
+node_state_ptr copy_node(const node_state& state) {
+  return node_state_ptr(new node_state(state));
+}
+
+void step(node_state& state, const event& input, support::time_point now,
+          support::random_source& random, std::vector<action>& actions) {
+  step_context context{state, random, actions};
+  const bool begins = std::holds_alternative<node_started>(input);
+  if (state.started == begins || state.leave.told_driver) {
+    return;
+  }
+  const support::duration gap = now - state.now;
+  state.now = state.started ? std::max(now, state.now) : now;
+  if (begins) {
+    start(context);
+  }
+  if (!begins && gap > state.settings.timings.pause_threshold) {
+    resume(context);
+  }
+  std::visit(event_handler{context}, input);
+  publish_changes(context);
+  if (!state.leave.told_driver && (begins || std::holds_alternative<timer_fired>(input))) {
+    actions.emplace_back(set_timer{state.next_tick});
+  }
+}
+
+node_status describe_node(const node_state& state) {
+  node_status status;
+  if (!state.started) {
+    return status;
+  }
+  status.self = self_of(state);
+  for (const auto& [address, entry] : state.records.by_address) {
+    const member& fields = entry.fields;
+    const bool local = fields.data_centre == state.settings.data_centre;
+    if (is_running(fields)) {
+      ++(local ? status.local_members : status.remote_members);
+    }
+    status.suspect_members += fields.state == member_state::suspect ? 1 : 0;
+    status.dead_members += fields.state == member_state::dead ? 1 : 0;
+    status.record_bytes += sizeof(record) + encoded_bound(fields) + 4 * address.size() + 160;
+  }
+  status.configuration_generation = state.configuration.generation;
+  status.configuration_digest = state.configuration.in_force.digest;
+  status.ready = state.ready;
+  status.leaving = state.leave.began.has_value();
+  status.polls_head = state.duties.polls_head;
+  for (const auto& [data_centre, contact] : state.duties.bridges) {
+    status.bridged_data_centres.push_back(data_centre);
+  }
+  return status;
+}
+
+std::vector<member> list_records(const node_state& state) {
+  std::vector<member> records;
+  for (const auto& [address, entry] : state.records.by_address) {
+    records.push_back(stamp_record(state, entry));
+  }
+  return records;
+}
+
+} // namespace acaciasill::control
--- /dev/null
+++ b/lib/control/sending.cpp
@@ -0,0 +1,179 @@
+#include "sending.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "records.h"
+
+namespace acaciasill::control {
+namespace {
+
+constexpr std::uint32_t spread_multiplier = 4;
+
+datagram make_datagram(const node_state& state, message_body body) {
+  const member& self = self_of(state);
+  datagram message;
+  message.sender_incarnation = self.incarnation;
+  message.sender_nonce = self.start_nonce;
+  message.configuration_generation = state.configuration.generation;
+  message.body = std::move(body);
+  return message;
+}
+
+// Addresses of the records that wait to be spread: urgent ones first, then those sent least often.
+std::vector<std::string> order_of_spread(const node_state& state) {
+  std::vector<std::pair<std::pair<bool, std::uint32_t>, std::string>> order;
+  order.reserve(state.rumours.records.size());
+  for (const auto& [address, news] : state.rumours.records) {
+    order.push_back({{!news.urgent, news.sent}, address});
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<std::string> addresses;
+  addresses.reserve(order.size());
+  for (auto& [rank, address] : order) {
+    addresses.push_back(std::move(address));
+  }
+  return addresses;
+}
+
+void add_marks(node_state& state, datagram& message) {
+  const std::uint32_t limit = spread_limit(state);
+  for (auto next = state.rumours.marks.begin(); next != state.rumours.marks.end();) {
+    const data_centre_mark& mark = state.marks.at(next->first);
+    if (encoded_bound(message) + encoded_bound(mark) > max_datagram_bytes ||
+        message.marks.size() >= max_scopes) {
+      return;
+    }
+    message.marks.push_back(mark);
+    next = ++next->second >= limit ? state.rumours.marks.erase(next) : std::next(next);
+  }
+}
+
+void add_rumours(node_state& state, datagram& message) {
+  const std::uint32_t limit = spread_limit(state);
+  for (const auto& address : order_of_spread(state)) {
+    const record* entry = find_record(state, address);
+    if (entry == nullptr || !fits(message, entry->fields)) {
+      continue;
+    }
+    message.updates.push_back(stamp_record(state, *entry));
+    if (++state.rumours.records[address].sent >= limit) {
+      state.rumours.records.erase(address);
+    }
+  }
+}
+
+void emit(step_context& context, const std::string& to, datagram message) {
+  context.actions.emplace_back(send_datagram{to, std::move(message)});
+}
+
+} // namespace
+
+bool fits(const datagram& message, const member& next) {
+  return message.updates.size() < max_updates &&
+         encoded_bound(message) + encoded_bound(next) <= max_datagram_bytes;
+}
+
+void send_body(step_context& context, const std::string& to, message_body body) {
+  datagram message = make_datagram(context.state, std::move(body));
+  add_marks(context.state, message);
+  add_rumours(context.state, message);
+  emit(context, to, std::move(message));
+}
+
+void send_records(step_context& context, const std::string& to, message_body body,
+                  std::vector<member> updates) {
+  datagram message = make_datagram(context.state, std::move(body));
+  message.updates = std::move(updates);
+  emit(context, to, std::move(message));
+}
+
+void send_correction(step_context& context, const std::string& to, message_body body,
+                     const std::string& about) {
+  datagram message = make_datagram(context.state, std::move(body));
+  if (const record* entry = find_record(context.state, about); entry != nullptr) {
+    message.updates.push_back(stamp_record(context.state, *entry));
+  }
+  add_marks(context.state, message);
+  add_rumours(context.state, message);
+  emit(context, to, std::move(message));
+}
+
+void send_all_records(step_context& context, const std::string& to, const message_body& body,
+                      const std::vector<member>& updates, std::size_t max_datagrams) {
+  datagram message = make_datagram(context.state, body);
+  std::size_t sent = 0;
+  for (const auto& fields : updates) {
+    if (!fits(message, fields)) {
+      emit(context, to, std::exchange(message, make_datagram(context.state, body)));
+      if (++sent >= max_datagrams) {
+        return;
+      }
+    }
+    message.updates.push_back(fields);
+  }
+  emit(context, to, std::move(message));
+}
+
+void spread_record(node_state& state, const std::string& address, bool urgent) {
+  state.rumours.records[address] = rumour{0, urgent};
+}
+
+void spread_mark(node_state& state, const std::string& data_centre) {
+  state.rumours.marks[data_centre] = 0;
+}
+
+std::uint32_t size_digits(const node_state& state) {
+  const auto found = state.records.by_data_centre.find(state.settings.data_centre);
+  std::size_t members = found == state.records.by_data_centre.end() ? 1 : found->second.size();
+  std::uint32_t digits = 1;
+  for (; members >= 10; members /= 10) {
+    ++digits;
+  }
+  return digits;
+}
+
+std::uint32_t spread_limit(const node_state& state) {
+  return spread_multiplier * size_digits(state);
+}
+
+pending_request ask_platform(step_context& context, platform_operation operation) {
+  platform_request request{context.state.next_ticket++, std::move(operation)};
+  const pending_request pending{request.ticket, context.state.now + 2 * request.timeout};
+  context.actions.emplace_back(std::move(request));
+  return pending;
+}
+
+bool is_waiting(const pending_request& request, support::time_point now) {
+  return request.ticket != 0 && now < request.expires;
+}
+
+bool settles(pending_request& request, const platform_answer& answer) {
+  if (request.ticket == 0 || request.ticket != answer.ticket) {
+    return false;
+  }
+  request = {};
+  return true;
+}
+
+void log(step_context& context, support::log_level level, const char* part, std::string text) {
+  context.actions.emplace_back(log_line{level, part, std::move(text)});
+}
+
+std::vector<std::string> choose_some(support::random_source& random,
+                                     std::vector<std::string> addresses, std::size_t count) {
+  const std::size_t wanted = std::min(count, addresses.size());
+  for (std::size_t index = 0; index < wanted; ++index) {
+    const auto other = index + support::uniform_below(random, addresses.size() - index);
+    std::swap(addresses[index], addresses[other]);
+  }
+  addresses.resize(wanted);
+  return addresses;
+}
+
+support::duration jittered(support::random_source& random, support::duration period) {
+  const double factor = 0.9 + 0.2 * support::uniform_unit(random);
+  return std::chrono::duration_cast<support::duration>(period * factor);
+}
+
+} // namespace acaciasill::control
--- /dev/null
+++ b/lib/control/synchronising.cpp
@@ -0,0 +1,189 @@
+#include "synchronising.h"
+
+#include <algorithm>
+
+#include "records.h"
+#include "sending.h"
+
+namespace acaciasill::control {
+namespace {
+
+// The most datagrams that one comparison sends; what is left waits for the next one.
+constexpr std::size_t max_sync_datagrams = 16;
+
+// Room for the fixed part of a datagram that carries digests alone.
+constexpr std::size_t digest_room = 300;
+
+scope_digest describe_scope(node_state& state, const std::string& data_centre, bool shared) {
+  const scope_cache& scope = scope_of(state, data_centre, shared);
+  return {data_centre, scope.members, scope.digest};
+}
+
+// How the records of a data centre are compared with this peer. Peers of the own data centre
+// compare what all of them keep; a counterpart elsewhere compares whole data centres. Nothing
+// where this node has nothing to compare.
+std::optional<bool> compares_shared(const node_state& state, bool local_peer,
+                                    const std::string& data_centre) {
+  if (data_centre == state.settings.data_centre) {
+    return false;
+  }
+  if (local_peer) {
+    return true;
+  }
+  if (state.duties.bridges.contains(data_centre)) {
+    return false;
+  }
+  return std::nullopt;
+}
+
+// Records of the data centre in the buckets of the mask, gone ones included, from a random place
+// on, so that a large difference is worked off over several comparisons.
+std::vector<member> records_of_buckets(step_context& context, const std::string& data_centre,
+                                       std::uint32_t buckets, bool shared) {
+  const node_state& state = context.state;
+  std::vector<member> records;
+  const auto found = state.records.by_data_centre.find(data_centre);
+  if (found == state.records.by_data_centre.end()) {
+    return records;
+  }
+  for (const auto& address : found->second) {
+    const record& entry = state.records.by_address.at(address);
+    const bool wanted = (buckets >> bucket_of(address) & 1U) != 0;
+    if (wanted && (!shared || is_shared(state, entry.fields))) {
+      records.push_back(stamp_record(state, entry));
+    }
+  }
+  if (!records.empty()) {
+    const auto start = support::uniform_below(context.random, records.size());
+    std::rotate(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(start),
+                records.end());
+  }
+  return records;
+}
+
+// The digests of the own data centre and of as many others as fit, others from a random one on.
+sync_digest describe_scopes(step_context& context) {
+  node_state& state = context.state;
+  sync_digest body{state.settings.data_centre, {}};
+  body.scopes.push_back(describe_scope(state, state.settings.data_centre, false));
+  std::vector<std::string> others;
+  for (const auto& [data_centre, members] : state.records.by_data_centre) {
+    if (data_centre != state.settings.data_centre) {
+      others.push_back(data_centre);
+    }
+  }
+  const std::size_t count = others.size();
+  for (const auto& data_centre : choose_some(context.random, std::move(others), count)) {
+    datagram whole;
+    whole.body = body;
+    if (body.scopes.size() >= max_scopes ||
+        encoded_bound(whole) + digest_room > max_datagram_bytes) {
+      break;
+    }
+    body.scopes.push_back(describe_scope(state, data_centre, true));
+  }
+  return body;
+}
+
+} // namespace
+
+void run_sync(step_context& context) {
+  node_state& state = context.state;
+  state.next_sync = state.now + jittered(context.random, state.settings.timings.sync_period);
+  auto peers = running_members(state, state.settings.data_centre);
+  for (const auto& peer : choose_some(context.random, std::move(peers), 1)) {
+    send_body(context, peer, describe_scopes(context));
+  }
+}
+
+void open_bridge_sync(step_context& context, const std::string& to,
+                      const std::string& data_centre) {
+  node_state& state = context.state;
+  sync_digest body{state.settings.data_centre, {}};
+  body.scopes.push_back(describe_scope(state, state.settings.data_centre, false));
+  body.scopes.push_back(describe_scope(state, data_centre, false));
+  send_records(context, to, std::move(body), {});
+}
+
+void take_sync_digest(step_context& context, const std::string& from, const sync_digest& body) {
+  node_state& state = context.state;
+  const bool local = body.data_centre == state.settings.data_centre;
+  bool answered = false;
+  for (const auto& scope : body.scopes) {
+    if (scope.data_centre.empty() || scope.data_centre.size() > max_name_bytes) {
+      continue;
+    }
+    const auto shared = compares_shared(state, local, scope.data_centre);
+    if (!shared || describe_scope(state, scope.data_centre, *shared) == scope) {
+      continue;
+    }
+    const auto& buckets = scope_of(state, scope.data_centre, *shared).buckets;
+    send_records(context, from, bucket_digests{scope.data_centre, buckets}, {});
+    answered = true;
+  }
+  if (!answered && (!local || body.scopes.empty())) {
+    // A counterpart elsewhere learns from any answer that this data centre can be reached; a node
+    // that does not know this one learns its record.
+    send_correction(context, from, gossip{}, state.settings.gossip_address);
+  }
+}
+
+void take_bucket_digests(step_context& context, const std::string& from,
+                         const bucket_digests& body) {
+  node_state& state = context.state;
+  const auto shared = compares_shared(state, is_local_peer(state, from), body.data_centre);
+  if (!shared || body.digests.size() != max_buckets) {
+    return;
+  }
+  const auto& own = scope_of(state, body.data_centre, *shared).buckets;
+  std::uint32_t mask = 0;
+  for (std::uint32_t bucket = 0; bucket < max_buckets; ++bucket) {
+    if (own[bucket] != body.digests[bucket]) {
+      mask |= 1U << bucket;
+    }
+  }
+  if (mask == 0) {
+    return;
+  }
+  const auto records = records_of_buckets(context, body.data_centre, mask, *shared);
+  send_all_records(context, from, sync_records{body.data_centre, 0, false}, records,
+                   max_sync_datagrams);
+  // The request for the other side's records goes last, so that it knows by then what to leave out.
+  send_records(context, from, sync_records{body.data_centre, mask, true}, {});
+}
+
+void take_sync_records(step_context& context, const std::string& from, const sync_records& body) {
+  node_state& state = context.state;
+  const auto shared = compares_shared(state, is_local_peer(state, from), body.data_centre);
+  if (!body.wants_reply || !shared) {
+    return;
+  }
+  const auto records = records_of_buckets(context, body.data_centre, body.buckets, *shared);
+  send_all_records(context, from, sync_records{body.data_centre, body.buckets, false}, records,
+                   max_sync_datagrams);
+}
+
+void take_page_request(step_context& context, const std::string& from, const page_request& body) {
+  const node_state& state = context.state;
+  page reply;
+  std::vector<member> updates;
+  // The cursor's own size is counted by a placeholder of the largest length.
+  datagram measured;
+  measured.body = page{std::string(max_name_bytes, ' ')};
+  const auto& table = state.records.by_address;
+  for (auto next = table.upper_bound(body.after); next != table.end(); ++next) {
+    const record& entry = next->second;
+    if (!is_running(entry.fields) || !is_shared(state, entry.fields)) {
+      continue;
+    }
+    if (!fits(measured, entry.fields)) {
+      reply.next = updates.back().gossip_address;
+      break;
+    }
+    updates.push_back(stamp_record(state, entry));
+    measured.updates.push_back(updates.back());
+  }
+  send_records(context, from, reply, std::move(updates));
+}
+
+} // namespace acaciasill::control
--- /dev/null
+++ b/lib/control/views.cpp
@@ -0,0 +1,77 @@
+#include "views.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "configuration_spread.h"
+#include "records.h"
+#include "sending.h"
+
+namespace acaciasill::control {
+namespace {
+
+bool is_cut_off(const node_state& state, const std::string& data_centre) {
+  const auto found = state.marks.find(data_centre);
+  return found != state.marks.end() && !found->second.reachable;
+}
+
+view_member describe_member(const node_state& state, const record& entry) {
+  const member& fields = entry.fields;
+  view_member seen;
+  seen.call_address = fields.call_address;
+  seen.name = fields.name;
+  seen.data_centre = fields.data_centre;
+  seen.service = fields.service;
+  seen.incarnation = fields.incarnation;
+  seen.slots = fields.slots;
+  seen.connections = fields.connections;
+  seen.suspect = fields.state == member_state::suspect || is_cut_off(state, fields.data_centre);
+  seen.draining = fields.draining;
+  seen.cold_since = entry.announced_at;
+  return seen;
+}
+
+cluster_view build_view(const node_state& state) {
+  cluster_view view;
+  view.version = state.published.version + 1;
+  view.ready = state.ready;
+  view.leaving = state.leave.began.has_value();
+  view.confirmed = state.confirmed;
+  for (const auto& [address, entry] : state.records.by_address) {
+    if (is_running(entry.fields) && !entry.fields.service.empty()) {
+      view.members.push_back(describe_member(state, entry));
+    }
+  }
+  const auto order = [](const view_member& seen) {
+    return std::tie(seen.service, seen.data_centre, seen.call_address);
+  };
+  std::sort(view.members.begin(), view.members.end(),
+            [&](const auto& left, const auto& right) { return order(left) < order(right); });
+  return view;
+}
+
+} // namespace
+
+void publish_changes(step_context& context) {
+  node_state& state = context.state;
+  if (!state.ready && configuration_is_settled(state)) {
+    state.ready = true;
+    state.view_changed = true;
+    log(context, support::log_level::info, "configuration", "this node is ready to serve");
+  }
+  if (!state.view_changed) {
+    return;
+  }
+  state.view_changed = false;
+  cluster_view view = build_view(state);
+  // The version alone is no change.
+  state.published.version = view.version;
+  if (view == state.published) {
+    --state.published.version;
+    return;
+  }
+  state.published = view;
+  context.actions.emplace_back(publish_view{std::move(view)});
+}
+
+} // namespace acaciasill::control
