Hold the queue near its target by a proportional and integral control

The budget now follows the queue, a rise starts from the least important level that is still offered, and the entry follows a stricter reply at once and a looser one by a 32nd.

--- /dev/null
+++ b/benchmarks/decide_overload.cpp
@@ -0,0 +1,107 @@
+// Prints tables of how the decisions behave under overload in virtual time. Deterministic from
+// --seed; every table is one group of runs of the loop in unittests/decide/overload_loop.h.
+#include "../unittests/decide/overload_loop.cpp"
+
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+
+using namespace acaciasill::decide::testing;
+
+namespace {
+
+void print_header(const char* title, const char* column) {
+  std::printf("\n%s\n\n| %s | before | under | deviation | recovery s | in vain | rank 0 | "
+              "attempts | org 0 | org 1 | org 2 |\n|---|---|---|---|---|---|---|---|---|---|---|\n",
+              title, column);
+}
+
+void print_row(const char* label, const loop_settings& settings) {
+  loop all(settings);
+  run(all);
+  const auto sum = summarise(all);
+  std::printf("| %s | %.3f | %.3f | %.3f | %.1f | %.3f | %.4f | %.2f | %.2f | %.2f | %.2f |\n",
+              label, sum.before, sum.under, sum.deviation, sum.recovery_s, sum.wasted,
+              sum.important, sum.amplification, sum.organisations[0], sum.organisations[1],
+              sum.organisations[2]);
+  if (std::getenv("DECIDE_OVERLOAD_BINS") != nullptr) {
+    for (std::size_t index = 25; index < bins; ++index) {
+      std::printf("%.2f ", all.results[index].useful * 10.0 / capacity_per_s);
+    }
+    std::printf("\n");
+  }
+}
+
+struct scenario {
+  const char* label;
+  double demand;
+  double slowness;
+};
+
+constexpr scenario scenarios[] = {{"demand 2", 2.0, 1.0},
+                                  {"demand 10", 10.0, 1.0},
+                                  {"demand 1.5, deep 10 times slower", 1.5, 10.0}};
+
+loop_settings settings_for(const scenario& tried, std::uint64_t seed) {
+  loop_settings settings;
+  settings.demand = tried.demand;
+  settings.slowness = tried.slowness;
+  settings.seed = seed;
+  return settings;
+}
+
+void print_scenarios(std::uint64_t seed) {
+  print_header("Scenarios", "case");
+  for (const auto& tried : scenarios) {
+    auto settings = settings_for(tried, seed);
+    print_row(tried.label, settings);
+    settings.entry_sheds = false;
+    print_row("... nothing shed at the entry", settings);
+    settings.passthrough = true;
+    print_row("... passthrough", settings);
+  }
+}
+
+template <class Value, std::size_t Count>
+void print_sweep(const char* title, const Value (&values)[Count], std::uint64_t seed,
+                 void (*change)(loop_settings&, Value)) {
+  for (const auto& tried : scenarios) {
+    char head[128];
+    std::snprintf(head, sizeof head, "%s: %s", title, tried.label);
+    print_header(head, title);
+    for (const auto value : values) {
+      auto settings = settings_for(tried, seed);
+      change(settings, value);
+      char label[32];
+      std::snprintf(label, sizeof label, "%g", static_cast<double>(value));
+      print_row(label, settings);
+    }
+  }
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  std::uint64_t seed = 1;
+  if (argc == 3 && std::strcmp(argv[1], "--seed") == 0) {
+    seed = std::strtoull(argv[2], nullptr, 10);
+  }
+  print_scenarios(seed);
+  if (std::getenv("DECIDE_OVERLOAD_SHORT") != nullptr) {
+    return 0;
+  }
+  print_sweep(
+      "threshold step", {0.01, 0.02, 0.05, 0.1, 0.2}, seed,
+      +[](loop_settings& settings, double value) { settings.threshold_step = value; });
+  print_sweep(
+      "queue bound in ms", {5, 10, 20, 50, 100, 200}, seed,
+      +[](loop_settings& settings, int value) { settings.queue_bound = milliseconds(value); });
+  print_sweep(
+      "queue places", {4, 16, 64, 256}, seed, +[](loop_settings& settings, int value) {
+        settings.queue_places = static_cast<std::uint32_t>(value);
+      });
+  print_sweep(
+      "queue target in ms", {1, 2, 5, 10}, seed,
+      +[](loop_settings& settings, int value) { settings.queue_target = milliseconds(value); });
+  return 0;
+}
--- a/include/acaciasill/decide/gate.h
+++ b/include/acaciasill/decide/gate.h
@@ -59,6 +59,8 @@
   std::atomic<std::uint32_t> in_flight{0};
   // Calls offered since the last adjustment, whatever their level.
   std::atomic<std::uint32_t> arrivals{0};
+  // The least important level offered since the last adjustment.
+  std::atomic<level> highest{0};
   // Calls refused since the last adjustment.
   std::atomic<std::uint32_t> refused{0};
   // How far the organisation's refused calls exceeded its admitted ones, in hundredths; it falls
--- a/include/acaciasill/decide/threshold_controller.h
+++ b/include/acaciasill/decide/threshold_controller.h
@@ -15,6 +15,8 @@
   // Calls in one period, smoothed, by bucket of level.
   std::array<double, bucket_count> offered{};
   double total = 0.0;
+  // The least important level that callers still offer, smoothed; they shed what is above it.
+  double highest = 0.0;
 };
 
 // One organisation's claim on the budget, used while it is divided.
@@ -41,6 +43,8 @@
   bool open = true;
   // Calls finished in one period, smoothed.
   double finished = 0.0;
+  // Calls that waited at the last adjustment.
+  double waiting_before = 0.0;
   // Adjustments in a row that found no queueing.
   std::uint32_t quiet = 0;
 };
--- a/lib/decide/entry_thresholds.cpp
+++ b/lib/decide/entry_thresholds.cpp
@@ -8,8 +8,9 @@
 
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr unsigned first_step_shift = hash_bits - 6;
-constexpr std::uint32_t strict_part = 2;
-constexpr std::uint32_t loose_part = 8;
+constexpr std::uint32_t loose_part = 32;
+// The least rise for a looser reply.
+constexpr level least_rise = level{1} << 12U;
 
 std::uint32_t stamp_of(support::time_point now) {
   return static_cast<std::uint32_t>(support::whole_milliseconds(now.time_since_epoch()));
@@ -45,10 +46,10 @@
 
 level blend(level before, level reply) {
   if (reply < before) {
-    return before - (before - reply) / strict_part - ((before - reply) % strict_part);
+    return reply;
   }
   const auto difference = reply - before;
-  return before + std::max(difference / loose_part, std::min<level>(difference, 1U << 12U));
+  return before + std::max(difference / loose_part, std::min(difference, least_rise));
 }
 
 } // namespace
--- a/lib/decide/gate.cpp
+++ b/lib/decide/gate.cpp
@@ -15,10 +15,9 @@
 // The part of a new service time in the smoothed one is 1 / 2^3.
 constexpr unsigned service_time_shift = 3;
 
-void note_peak(gate& state, std::uint32_t in_flight) {
-  auto peak = state.peak_in_flight.load(relaxed);
-  while (in_flight > peak &&
-         !state.peak_in_flight.compare_exchange_weak(peak, in_flight, relaxed)) {
+void raise_to(std::atomic<std::uint32_t>& most, std::uint32_t value) {
+  auto before = most.load(relaxed);
+  while (value > before && !most.compare_exchange_weak(before, value, relaxed)) {
   }
 }
 
@@ -45,7 +44,7 @@
     if (state.in_flight.compare_exchange_weak(used, used + 1, std::memory_order_acq_rel)) {
       state.organisations[organisation].in_flight.fetch_add(1, relaxed);
       state.started.fetch_add(1, relaxed);
-      note_peak(state, used + 1);
+      raise_to(state.peak_in_flight, used + 1);
       return true;
     }
   }
@@ -67,6 +66,7 @@
   }
   auto& counters = state.organisations[request.organisation];
   counters.arrivals.fetch_add(1, relaxed);
+  raise_to(counters.highest, request.level);
   counters.offered[bucket_of(request.level)].fetch_add(1, relaxed);
   if (!admits(counters.threshold.load(relaxed), request.level)) {
     return refuse(state, view, request, result_code::shed_at_upstream, random);
--- a/lib/decide/share_allocation.cpp
+++ b/lib/decide/share_allocation.cpp
@@ -8,6 +8,10 @@
 
 constexpr unsigned rank_count = 1U << rank_bits;
 constexpr unsigned buckets_in_rank = bucket_count / rank_count;
+// The largest rise of a threshold in one period, in levels, before it is accelerated.
+constexpr double rise_levels = static_cast<double>(level{1} << hash_bits) / 16.0;
+// A bucket with less remembered demand, in calls of a period, counts as unused.
+constexpr double unused_bucket = 0.01;
 // Rounds of halving that find the level to which organisations are filled.
 constexpr int fill_rounds = 40;
 
@@ -80,7 +84,23 @@
   return accept_all;
 }
 
-void allocate_shares(gate& state, const gate_view& view, threshold_controller& controller) {
+level raise_threshold(const organisation_demand& demand, level threshold, double levels) {
+  constexpr auto width = static_cast<double>(level{1} << bucket_shift);
+  auto position = static_cast<double>(threshold);
+  for (unsigned bucket = bucket_of(threshold); bucket < bucket_count; ++bucket) {
+    const double end = width * (bucket + 1.0);
+    const bool used = demand.offered[bucket] >= unused_bucket;
+    if (used && position + levels < end) {
+      return static_cast<level>(position + levels);
+    }
+    levels -= used ? end - position : 0.0;
+    position = end;
+  }
+  return accept_all;
+}
+
+void allocate_shares(gate& state, const gate_view& view, threshold_controller& controller,
+                     double growth) {
   double rest = controller.budget;
   controller.claims.clear();
   for (const auto index : controller.active) {
@@ -98,8 +118,14 @@
     rest = grant_rank(controller, rank, rest);
   }
   for (const auto& claim : controller.claims) {
-    const auto threshold = threshold_for(controller.demand[claim.organisation], claim.granted);
-    state.organisations[claim.organisation].threshold.store(threshold, std::memory_order_relaxed);
+    const auto& demand = controller.demand[claim.organisation];
+    auto& threshold = state.organisations[claim.organisation].threshold;
+    const auto wanted = threshold_for(demand, claim.granted);
+    // A rise starts from what callers still offer, so that the thresholds of several upstreams
+    // stay together and none runs ahead of what it has seen.
+    const auto before = std::min<double>(threshold.load(std::memory_order_relaxed), demand.highest);
+    const auto most = raise_threshold(demand, static_cast<level>(before), growth * rise_levels);
+    threshold.store(std::min(wanted, most), std::memory_order_relaxed);
   }
 }
 
--- a/lib/decide/threshold_controller.cpp
+++ b/lib/decide/threshold_controller.cpp
@@ -14,12 +14,17 @@
 constexpr double smoothing = 0.2;
 // What a closed bucket keeps of its remembered demand in one period; half is gone after 2.8 s.
 constexpr double closed_memory = 0.995;
+// The part of a new period in the least important level offered, where that falls.
+constexpr double highest_smoothing = 0.05;
 // Demand below this many calls in a period counts as none.
 constexpr double negligible = 0.01;
 // The part of the calls of a period whose drop from the queue counts as overload.
 constexpr double tolerated_drops = 0.02;
 // The part of the waiting calls that a tightened budget leaves room to drain in one period.
 constexpr double drain_part = 0.25;
+// The gains of the queue's control, in calls of a period for each waiting call.
+constexpr double integral_gain = 0.02;
+constexpr double proportional_gain = 0.3;
 // The largest step of recovery is this multiple of threshold_step.
 constexpr double largest_growth = 5.0;
 // Quiet periods for which the step of recovery grows by one more threshold_step.
@@ -44,8 +49,20 @@
   remembered *= closed_memory;
 }
 
+void smooth_highest(organisation_counters& counters, organisation_demand& demand, bool arrived) {
+  const double seen = counters.highest.exchange(0, relaxed);
+  const double threshold = counters.threshold.load(relaxed);
+  if (!arrived) {
+    // Where nobody calls, nothing is known to be shed.
+    demand.highest = std::max(demand.highest, threshold);
+    return;
+  }
+  demand.highest = std::max(seen, demand.highest + highest_smoothing * (seen - demand.highest));
+}
+
 void collect_demand(organisation_counters& counters, organisation_demand& demand) {
   const auto arrivals = counters.arrivals.exchange(0, relaxed);
+  smooth_highest(counters, demand, arrivals > 0);
   const auto last_open = bucket_of(counters.threshold.load(relaxed));
   demand.total = 0.0;
   for (unsigned bucket = 0; bucket < bucket_count; ++bucket) {
@@ -102,40 +119,69 @@
   return figures;
 }
 
-void tighten(const gate& state, threshold_controller& controller) {
+// The calls that wait when the queueing delay is on its target.
+double wanted_queue(const gate_view& view, const threshold_controller& controller) {
+  const double periods = std::chrono::duration<double>(view.queue_target) /
+                         std::chrono::duration<double>(control_period);
+  return controller.finished * periods;
+}
+
+// Closes the thresholds: as much is admitted as is finished, less a part of what waits.
+void close(const gate& state, threshold_controller& controller) {
   const double waiting = state.waiting.load(relaxed);
-  const double before =
-      controller.open ? controller.finished : std::min(controller.budget, controller.finished);
-  const double drained = controller.finished - drain_part * waiting;
-  controller.budget = std::max({least_budget, before / 2.0, std::min(before, drained)});
+  controller.budget = std::max(
+      {least_budget, controller.finished / 2.0, controller.finished - drain_part * waiting});
   controller.open = false;
   controller.quiet = 0;
 }
 
-void loosen(const gate_view& view, threshold_controller& controller) {
+// Holds the queue near its wanted length: a proportional and integral control in its velocity form.
+void hold(const gate& state, const gate_view& view, threshold_controller& controller) {
+  const double waiting = state.waiting.load(relaxed);
+  const double error = wanted_queue(view, controller) - waiting;
+  const double change =
+      integral_gain * error - proportional_gain * (waiting - controller.waiting_before);
+  const double most = controller.budget * view.threshold_step;
+  const double least = -controller.budget / 2.0;
+  controller.budget = std::max(least_budget, controller.budget + std::clamp(change, least, most));
+  controller.quiet = 0;
+}
+
+double growth_of(const threshold_controller& controller) {
+  return std::min(largest_growth, 1.0 + controller.quiet / growth_periods);
+}
+
+// Admits more; all thresholds open once the budget has room for what is remembered and each
+// threshold has risen so far.
+void loosen(const gate& state, const gate_view& view, threshold_controller& controller) {
   ++controller.quiet;
-  const double growth = std::min(largest_growth, 1.0 + controller.quiet / growth_periods);
-  controller.budget += std::max(least_budget, controller.budget * view.threshold_step * growth);
+  double total = 0.0;
+  bool risen = true;
+  for (const auto index : controller.active) {
+    risen = risen && state.organisations[index].threshold.load(relaxed) == accept_all;
+    total += controller.demand[index].total;
+  }
+  const double part = view.threshold_step * growth_of(controller);
+  const double raised = controller.budget + std::max(least_budget, controller.budget * part);
+  const double most = open_margin * total + least_budget;
+  controller.open = risen && raised >= most;
+  controller.budget = std::min(raised, std::max(most, controller.budget));
 }
 
 void move_budget(gate& state, const gate_view& view, threshold_controller& controller,
                  const period_figures& figures) {
   const bool drops = figures.dropped > 1.0 && figures.dropped > tolerated_drops * figures.entered;
   const bool overloaded = drops || figures.delay > view.queue_target;
+  const double waiting = state.waiting.load(relaxed);
   state.overloaded.store(overloaded, relaxed);
-  if (overloaded) {
-    tighten(state, controller);
-    return;
-  }
-  if (controller.open || figures.delay > view.queue_target / 2) {
-    return;
-  }
-  loosen(view, controller);
-  double total = 0.0;
-  for (const auto index : controller.active) {
-    total += controller.demand[index].total;
+  if (overloaded && controller.open) {
+    close(state, controller);
+  } else if (!controller.open && (waiting > 0.0 || figures.delay > view.queue_target / 2)) {
+    hold(state, view, controller);
+  } else if (!controller.open) {
+    loosen(state, view, controller);
   }
-  controller.open = controller.budget > open_margin * total;
+  controller.waiting_before = waiting;
 }
 
 } // namespace
@@ -156,7 +202,7 @@
     }
     return;
   }
-  allocate_shares(state, view, controller);
+  allocate_shares(state, view, controller, growth_of(controller));
 }
 
 } // namespace acaciasill::decide
--- /dev/null
+++ b/unittests/decide/overload_loop.h
@@ -0,0 +1,133 @@
+#ifndef ACACIASILL_UNITTESTS_DECIDE_OVERLOAD_LOOP_H
+#define ACACIASILL_UNITTESTS_DECIDE_OVERLOAD_LOOP_H
+
+#include <functional>
+#include <queue>
+
+#include "acaciasill/decide/request_path.h"
+
+// A fixed little loop in virtual time for trying out the control of overload: clients that retry
+// hard, one entry, one front service, and three upstreams of a deep service.
+namespace acaciasill::decide::testing {
+
+using support::duration;
+using support::microseconds;
+using support::milliseconds;
+using support::time_point;
+
+// What is tried.
+struct loop_settings {
+  double demand = 2.0;     // Offered first attempts during the pressure, in capacities.
+  double calm = 0.7;       // Offered first attempts before and after.
+  double slowness = 1.0;   // Factor on the deep service time during the pressure.
+  int client_retries = 10; // Attempts of one client beyond the first.
+  duration client_pause = milliseconds(20);
+  bool client_heeds_advice = false;
+  bool passthrough = false;
+  bool entry_sheds = true;
+  double threshold_step = 0.05;
+  duration queue_bound = milliseconds(50);
+  duration queue_target = milliseconds(5);
+  std::uint32_t queue_places = 64;
+  std::uint32_t believed_slots = 30;
+  std::uint64_t seed = 1;
+};
+
+inline constexpr std::uint32_t deep_slots = 30;
+inline constexpr std::uint32_t deep_upstreams = 3;
+inline constexpr double deep_service_us = 10000.0;
+inline constexpr double capacity_per_s = deep_upstreams * deep_slots * 1e6 / deep_service_us;
+inline constexpr time_point pressure_start{std::chrono::seconds(3)};
+inline constexpr time_point pressure_end{std::chrono::seconds(8)};
+inline constexpr time_point loop_end{std::chrono::seconds(13)};
+inline constexpr milliseconds bin_width{100};
+inline constexpr std::size_t bins = loop_end.time_since_epoch() / bin_width;
+inline constexpr std::uint32_t organisation_count = 3;
+
+// One request of a client, over all its attempts.
+struct loop_request {
+  request_facts facts;
+  std::uint8_t rank = 0;
+  int attempts = 0;
+  time_point given_up;
+  std::uint32_t upstream = 0;
+  time_point front_started;
+  time_point started;
+  level threshold = accept_all;
+  std::uint32_t retry_after_ms = 0;
+};
+
+// One daemon with its backend server, which runs `slots` calls at once in the order of arrival.
+struct loop_node {
+  loop_node(std::uint32_t first_limit, std::uint32_t slots, const gate_view& settings)
+      : counters(organisation_count, first_limit), view(settings), queue(organisation_count, 4096),
+        controller(organisation_count), slot_free(slots) {}
+
+  gate counters;
+  gate_view view;
+  wait_queue queue;
+  threshold_controller controller;
+  limit_state limit;
+  std::vector<time_point> slot_free;
+};
+
+// Counts of one bin of time.
+struct loop_bin {
+  double useful = 0;
+  double offered = 0;
+  std::array<double, 8> useful_of_rank{};
+  std::array<double, 8> offered_of_rank{};
+  std::array<double, organisation_count> useful_of_organisation{};
+  double wasted = 0; // Calls that the front ran and the deep service refused or finished too late.
+  double deep_attempts = 0;
+};
+
+// The whole loop.
+struct loop {
+  struct event {
+    time_point when;
+    std::uint64_t number;
+    std::function<void()> run;
+    bool operator<(const event& other) const {
+      return std::tie(other.when, other.number) < std::tie(when, number);
+    }
+  };
+
+  explicit loop(const loop_settings& tried);
+
+  loop_settings settings;
+  support::random_source random;
+  time_point now{};
+  std::uint64_t last_event = 0;
+  std::priority_queue<event> events;
+  std::vector<std::unique_ptr<loop_request>> requests;
+  std::vector<std::unique_ptr<loop_node>> nodes; // The front, then the deep upstreams.
+  route_view route;
+  spill_counters spill;
+  entry_thresholds thresholds{1, organisation_count};
+  std::vector<dropped_call> dropped;
+  std::array<loop_bin, bins> results{};
+  // Organisations' parts of the arrivals, and ranks of them.
+  std::array<double, organisation_count> parts{0.8, 0.1, 0.1};
+};
+
+// Runs it to its end.
+void run(loop& all);
+
+// What came of it, in parts of capacity.
+struct loop_summary {
+  double before = 0;    // Goodput in the two seconds before the pressure.
+  double under = 0;     // Goodput under pressure, its first second aside.
+  double deviation = 0; // Standard deviation of the bins of `under`.
+  double recovery_s =
+      0;                // From the end of the pressure until goodput is and stays at 95% of before.
+  double wasted = 0;    // Calls in vain at the front under pressure, in parts of useful ones.
+  double important = 0; // Success of rank 0 under pressure.
+  double amplification = 0; // Attempts at the deep service for each useful one under pressure.
+  std::array<double, organisation_count> organisations{};
+};
+loop_summary summarise(const loop& all);
+
+} // namespace acaciasill::decide::testing
+
+#endif
