Check the decisions by properties against plain oracles

Each property also runs with deliberate faults and must find them. The oracle of the queue found that a call which took its organisation over its own places was refused while a less important one of the same organisation kept its place; the victim is now chosen with the new call counted in. A report of slots that is far too low is bounded by the concurrency that the server has carried lately.

--- a/include/acaciasill/decide/concurrency_limit.h
+++ b/include/acaciasill/decide/concurrency_limit.h
@@ -42,6 +42,8 @@
   support::time_point ready_since{};
   // The bound by observation.
   double observed = 0.0;
+  // Calls in flight that the server has carried lately without becoming slower; it decays.
+  double proven = 0.0;
   // Service time in microseconds while the server was not saturated.
   double unsaturated_us = 0.0;
   // Figures of the window before a lowered limit was tried, and whether one is on trial.
--- a/lib/decide/concurrency_limit.cpp
+++ b/lib/decide/concurrency_limit.cpp
@@ -25,16 +25,30 @@
 constexpr std::uint32_t failed_trial_pause = 10;
 // A report may exceed the configured slots by this factor.
 constexpr double report_bound = 2.0;
+// A report may fall short of the proven concurrency down to this part of it.
+constexpr double proven_part = 0.5;
+constexpr double proven_decay = 0.99;
+constexpr double proven_doubt = 0.8;
 // Fewer finished calls than this in a window decide nothing.
 constexpr std::uint32_t least_finished = 10;
 constexpr double unsaturated_smoothing = 0.1;
 
-double full_limit(const limit_settings& settings, const limit_sample& sample) {
+double full_limit(const limit_state& state, const limit_settings& settings,
+                  const limit_sample& sample) {
   const double slots = settings.slots;
   if (sample.reported_slots == 0) {
     return slots;
   }
-  return std::min<double>(sample.reported_slots, slots * report_bound);
+  // A report may be too low as well as too high.
+  const double least = std::min(slots, state.proven * proven_part);
+  return std::clamp<double>(sample.reported_slots, least, slots * report_bound);
+}
+
+void learn_proven(limit_state& state, const limit_sample& sample, bool slow) {
+  state.proven *= slow ? proven_doubt : proven_decay;
+  if (!slow && sample.finished >= least_finished) {
+    state.proven = std::max<double>(state.proven, sample.peak_in_flight);
+  }
 }
 
 double rate_of(const limit_sample& sample) {
@@ -91,6 +105,7 @@
   const bool slow =
       state.unsaturated_us > 0.0 && mean_us > suspicious_slowness * state.unsaturated_us;
   learn_service_time(state, mean_us, saturated);
+  learn_proven(state, sample, slow);
   state.pause -= std::min<std::uint32_t>(state.pause, 1);
   if (saturated && slow && state.pause == 0) {
     start_trial(state, sample);
@@ -114,7 +129,7 @@
 
 std::uint32_t update_limit(limit_state& state, const limit_settings& settings,
                            const limit_sample& sample, support::time_point now) {
-  const double full = full_limit(settings, sample);
+  const double full = full_limit(state, settings, sample);
   if (state.observed <= 0.0) {
     state.observed = full;
   }
--- a/lib/decide/wait_queue.cpp
+++ b/lib/decide/wait_queue.cpp
@@ -141,12 +141,20 @@
 bool make_place(wait_queue_state& queue, gate& state, const gate_view& view,
                 const request_facts& request, support::time_point now,
                 std::vector<dropped_call>& dropped) {
-  const auto waiting = queue.organisations[request.organisation].calls.size();
-  const auto own_key = victim_key(view, request.organisation, waiting + 1, request.level);
-  if (queue.victims.best_key() >= own_key) {
+  auto loser = queue.victims.winner();
+  auto loser_key = queue.victims.best_key();
+  // With the new call its organisation may be over its places, which the keys do not know yet.
+  const auto& own = queue.organisations[request.organisation].calls;
+  if (!own.empty()) {
+    const auto worst = std::prev(own.end())->request.level;
+    const auto key = victim_key(view, request.organisation, own.size() + 1, worst);
+    loser = key < loser_key ? request.organisation : loser;
+    loser_key = std::min(key, loser_key);
+  }
+  if (loser_key >= victim_key(view, request.organisation, own.size() + 1, request.level)) {
     return false;
   }
-  const auto& calls = queue.organisations[queue.victims.winner()].calls;
+  const auto& calls = queue.organisations[loser].calls;
   drop(queue, state, view, worst_of(calls), support::result_code::queue_full, now, dropped);
   return true;
 }
--- /dev/null
+++ b/unittests/decide/found_after.h
@@ -0,0 +1,28 @@
+#ifndef ACACIASILL_UNITTESTS_DECIDE_FOUND_AFTER_H
+#define ACACIASILL_UNITTESTS_DECIDE_FOUND_AFTER_H
+
+#include <cstdio>
+
+#include <rapidcheck.h>
+
+namespace acaciasill::decide::testing {
+
+// Runs a property with a deliberate fault switched on and returns after how many cases it fails
+// first, 0 for never. The number is printed for docs/TESTING-decide.md.
+template <class Property>
+int found_after(const char* fault, const Property& holds) {
+  int cases = 0;
+  int found = 0;
+  rc::check([&] {
+    if (found == 0) {
+      ++cases;
+      found = holds() ? 0 : cases;
+    }
+  });
+  std::printf("fault '%s' found after %d cases\n", fault, found);
+  return found;
+}
+
+} // namespace acaciasill::decide::testing
+
+#endif
--- /dev/null
+++ b/unittests/decide/gate_test.cpp
@@ -0,0 +1,138 @@
+#include "acaciasill/decide/gate.h"
+
+#include <catch2/catch.hpp>
+
+#include "acaciasill/decide/threshold_controller.h"
+#include "found_after.h"
+
+using namespace acaciasill;
+using namespace acaciasill::decide;
+using acaciasill::decide::testing::found_after;
+using support::milliseconds;
+using support::result_code;
+
+namespace {
+
+struct gate_fixture {
+  gate counters{2, 2};
+  gate_view view{.organisations = {{0.5, 1.0}, {0.0, 1.0}}};
+  support::random_source random{1};
+  request_facts request{
+      {1, 1}, make_level(3, false, {1, 1}), 0, support::time_point(milliseconds(1000))};
+
+  admit_decision decide() { return admit(counters, view, request, {}, random); }
+};
+
+enum class fault { none, hash_per_hop };
+
+// In one instant, no call is shed while a less important one of its organisation is let in.
+bool shed_order_holds(fault injected) {
+  support::random_source random(*rc::gen::arbitrary<std::uint64_t>());
+  gate counters(1, 4);
+  const gate_view view{.organisations = {{0.3, 1.0}}};
+  threshold_controller controller(1);
+  const auto periods = *rc::gen::inRange(1, 30);
+  support::time_point now{};
+  for (int period = 0; period < periods; ++period) {
+    level most_let_in = 0;
+    level least_shed = accept_all;
+    const auto offers = random() % 40;
+    for (std::uint64_t offer = 0; offer < offers; ++offer) {
+      const request_id id{random(), random()};
+      const auto rank = static_cast<std::uint8_t>(random() % 4);
+      const auto level = make_level(rank, false, id);
+      request_facts request{id, level, 0, now + milliseconds(500)};
+      if (injected == fault::hash_per_hop) {
+        request.level = make_level(rank, false, {random(), 0});
+      }
+      const auto decision = admit(counters, view, request, now, random);
+      const bool let_in = decision.action != admission::refuse;
+      most_let_in = let_in ? std::max(most_let_in, level) : most_let_in;
+      least_shed = let_in ? least_shed : std::min(least_shed, level);
+      // What would wait is dropped here, so that the thresholds close.
+      counters.dropped += decision.action == admission::wait ? 1 : 0;
+    }
+    if (most_let_in > least_shed) {
+      return false;
+    }
+    while (counters.in_flight > 0) {
+      on_finish(counters, 0, milliseconds(10));
+    }
+    adjust(counters, view, controller);
+    now += control_period;
+  }
+  return true;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(gate_fixture, "calls run up to the limit and wait beyond it") {
+  CHECK(decide().action == admission::run);
+  CHECK(decide().action == admission::run);
+  CHECK(decide().action == admission::wait);
+  on_finish(counters, 0, milliseconds(3));
+  CHECK(counters.in_flight == 1);
+  CHECK(decide().action == admission::run);
+}
+
+TEST_CASE_METHOD(gate_fixture, "a leaving upstream refuses at the door") {
+  counters.draining = true;
+  CHECK(decide() == admit_decision{admission::refuse, result_code::draining, 0, accept_all});
+}
+
+TEST_CASE_METHOD(gate_fixture, "a refusal for load brings the threshold and a time to come back") {
+  counters.organisations[0].threshold = make_level(1, false, {});
+  const auto decision = decide();
+  CHECK(decision.code == result_code::shed_at_upstream);
+  CHECK(decision.threshold == make_level(1, false, {}));
+  CHECK(decision.retry_after_ms >= 50);
+  CHECK(decision.retry_after_ms < 150);
+  CHECK(counters.in_flight == 0);
+}
+
+TEST_CASE_METHOD(gate_fixture, "an organisation above its own part is told that it is") {
+  CHECK(decide().action == admission::run);
+  CHECK(decide().action == admission::run);
+  counters.organisations[0].threshold = 0;
+  CHECK(decide().code == result_code::share_exceeded);
+}
+
+TEST_CASE_METHOD(gate_fixture, "an unknown organisation is refused without touching a counter") {
+  request.organisation = 2;
+  CHECK(decide().code == result_code::unknown_organisation);
+}
+
+TEST_CASE_METHOD(gate_fixture, "a call that cannot end in time is refused, but not for ever") {
+  counters.service_time_us = 2000000;
+  CHECK(decide().code == result_code::deadline_exceeded);
+  threshold_controller controller(2);
+  for (int period = 0; period < 50; ++period) {
+    adjust(counters, view, controller);
+  }
+  CHECK(decide().action == admission::run);
+}
+
+TEST_CASE_METHOD(gate_fixture, "nothing keeps the gate closed when no traffic comes") {
+  threshold_controller controller(2);
+  for (int period = 0; period < 20; ++period) {
+    for (int call = 0; call < 100; ++call) {
+      request.id = {random(), random()};
+      request.level = make_level(3, false, request.id);
+      counters.dropped += decide().action == admission::wait ? 1 : 0;
+    }
+    on_finish(counters, 0, milliseconds(5));
+    adjust(counters, view, controller);
+  }
+  CHECK(counters.organisations[0].threshold != accept_all);
+  for (int period = 0; period < 100; ++period) {
+    adjust(counters, view, controller);
+  }
+  CHECK(counters.organisations[0].threshold == accept_all);
+  CHECK(counters.organisations[0].excess == 0);
+}
+
+TEST_CASE("in one instant no call is shed while a less important one is let in") {
+  CHECK(rc::check([] { RC_ASSERT(shed_order_holds(fault::none)); }));
+  CHECK(found_after("hash drawn anew at a hop",
+                    [] { return shed_order_holds(fault::hash_per_hop); }) > 0);
+}
--- /dev/null
+++ b/unittests/decide/retry_property_test.cpp
@@ -0,0 +1,119 @@
+// Conservation of the retry budget over a tree of calls whose replies get lost.
+#include "acaciasill/decide/parents.h"
+#include "acaciasill/decide/retry.h"
+
+#include <catch2/catch.hpp>
+
+#include "found_after.h"
+
+using namespace acaciasill;
+using namespace acaciasill::decide;
+using acaciasill::decide::testing::found_after;
+
+namespace {
+
+enum class fault { none, lost_reply_returns, retry_unpaid };
+
+struct tree {
+  support::random_source random;
+  fault injected = fault::none;
+  std::uint32_t extra_attempts = 0; // The oracle's own count of attempts beyond the first.
+};
+
+std::uint32_t run_service(tree& all, int depth, std::uint32_t lent);
+
+// One call with its retries, made with attempts taken from the parent; returns what is unused.
+std::uint32_t call(tree& all, int depth, std::uint32_t borrowed) {
+  attempt_budget budget(borrowed);
+  retry_tokens tokens;
+  tokens.thousandths = 10000;
+  for (std::uint32_t attempt = 0;; ++attempt) {
+    const auto lent = lend_attempts(budget);
+    const auto unused = run_service(all, depth + 1, lent);
+    const bool lost = all.random() % 4 == 0;
+    if (!lost) {
+      return_attempts(budget, lent, unused);
+    }
+    if (lost && all.injected == fault::lost_reply_returns) {
+      return_attempts(budget, lent, lent);
+    }
+    const bool failed = lost || all.random() % 3 == 0;
+    if (!failed) {
+      return held_attempts(budget);
+    }
+    const failed_attempt facts{.code = support::result_code::backend_failed,
+                               .tried = attempt + 1,
+                               .subset_size = 8,
+                               .deadline = support::time_point(std::chrono::seconds(100))};
+    const auto decision = may_retry(budget, tokens, facts, {}, all.random);
+    if (!decision.retry && all.injected != fault::retry_unpaid) {
+      return held_attempts(budget);
+    }
+    if (attempt > 6) {
+      return 0;
+    }
+    ++all.extra_attempts;
+  }
+}
+
+// A service that makes some calls of its own out of what it was lent.
+std::uint32_t run_service(tree& all, int depth, std::uint32_t lent) {
+  parent_table table(4);
+  const request_id id{1, static_cast<std::uint64_t>(depth)};
+  const auto parent = open_parent(table, id, lent, false);
+  const auto children = depth >= 4 ? 0 : all.random() % 3;
+  for (std::uint64_t child = 0; child < children; ++child) {
+    const auto borrowed = borrow_from_parent(table, *parent);
+    const auto unused = call(all, depth, borrowed);
+    if (all.random() % 5 != 0) {
+      return_to_parent(table, *parent, borrowed, {.unused_attempts = unused}, true);
+    }
+  }
+  return close_parent(table, *parent, lent).unused_attempts;
+}
+
+bool budget_is_conserved(fault injected) {
+  tree all{support::random_source(*rc::gen::arbitrary<std::uint64_t>()), injected};
+  const auto minted = *rc::gen::inRange<std::uint32_t>(0, 12);
+  const auto unused = call(all, 0, minted);
+  return all.extra_attempts + unused <= minted;
+}
+
+} // namespace
+
+TEST_CASE("attempts beyond the first never exceed what was minted, whatever is lost") {
+  CHECK(rc::check([] { RC_ASSERT(budget_is_conserved(fault::none)); }));
+}
+
+TEST_CASE("the budget's property finds each deliberate fault") {
+  CHECK(found_after("lost reply returns the loan",
+                    [] { return budget_is_conserved(fault::lost_reply_returns); }) > 0);
+  CHECK(found_after("retry not paid for", [] { return budget_is_conserved(fault::retry_unpaid); }) >
+        0);
+}
+
+TEST_CASE("a reply that returns more than was lent adds nothing") {
+  attempt_budget budget(4);
+  const auto lent = lend_attempts(budget);
+  CHECK(lent == 2);
+  CHECK(return_attempts(budget, lent, 100) == 2);
+  CHECK(held_attempts(budget) == 4);
+}
+
+TEST_CASE("a late return to a cell that serves another request is spent") {
+  parent_table table(1);
+  const auto first = open_parent(table, {1, 1}, 4, false);
+  const auto borrowed = borrow_from_parent(table, *first);
+  close_parent(table, *first, 4);
+  std::optional<parent_ref> second;
+  // Other requests take every cell, the first request's among them.
+  for (std::uint64_t number = 2; number < 200; ++number) {
+    if (const auto opened = open_parent(table, {1, number}, 0, false);
+        opened && opened->cell == first->cell) {
+      second = opened;
+    }
+  }
+  REQUIRE(second.has_value());
+  return_to_parent(table, *first, borrowed, {.unused_attempts = borrowed}, true);
+  CHECK(close_parent(table, *second, 100).unused_attempts == 0);
+}
--- /dev/null
+++ b/unittests/decide/retry_test.cpp
@@ -0,0 +1,105 @@
+#include "acaciasill/decide/retry.h"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciasill;
+using namespace acaciasill::decide;
+using support::milliseconds;
+using support::result_code;
+using reason = retry_decision::reason;
+
+namespace {
+
+struct retry_fixture {
+  attempt_budget budget{2};
+  retry_tokens tokens;
+  support::random_source random{1};
+  failed_attempt failed{.code = result_code::backend_failed,
+                        .tried = 1,
+                        .subset_size = 3,
+                        .deadline = support::time_point(milliseconds(1000))};
+
+  retry_decision decide() { return may_retry(budget, tokens, failed, {}, random); }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(retry_fixture, "a failure next to the hop is retried out of the budget") {
+  const auto decision = decide();
+  CHECK(decision.retry);
+  CHECK(decision.uses_budget);
+  CHECK(decision.delay <= milliseconds(10));
+  CHECK(held_attempts(budget) == 1);
+}
+
+TEST_CASE_METHOD(retry_fixture, "a call that may have run is not retried unless idempotent") {
+  failed.idempotent = false;
+  CHECK(decide().refused == reason::may_have_run);
+  failed.not_run = true;
+  failed.code = result_code::backend_shed;
+  CHECK(decide().retry);
+}
+
+TEST_CASE_METHOD(retry_fixture, "nobody above an overloaded hop retries") {
+  failed.overloaded_below = true;
+  CHECK(decide().refused == reason::overloaded);
+  failed.overloaded_below = false;
+  for (const auto code : {result_code::shed_at_upstream, result_code::queue_full,
+                          result_code::queue_timeout, result_code::share_exceeded}) {
+    failed.code = code;
+    failed.not_run = true;
+    CHECK(decide().refused == reason::overloaded);
+  }
+  CHECK(held_attempts(budget) == 2);
+}
+
+TEST_CASE_METHOD(retry_fixture, "only the hop next to the failure retries") {
+  failed.next_to_failure = false;
+  CHECK(decide().refused == reason::not_next_to_failure);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "a leaving upstream costs no attempt, as often as there are others") {
+  failed.not_run = true;
+  failed.idempotent = false;
+  for (const auto code : {result_code::draining, result_code::peer_unreachable}) {
+    failed.code = code;
+    const auto decision = decide();
+    CHECK(decision.retry);
+    CHECK_FALSE(decision.uses_budget);
+  }
+  failed.tried = 3;
+  CHECK(decide().refused == reason::no_upstream);
+  CHECK(held_attempts(budget) == 2);
+}
+
+TEST_CASE_METHOD(retry_fixture, "a retry that cannot end in time is not made") {
+  failed.expected_service_time = milliseconds(1000);
+  CHECK(decide().refused == reason::no_time);
+  CHECK(held_attempts(budget) == 2);
+}
+
+TEST_CASE_METHOD(retry_fixture, "without a token the attempt goes back to the budget") {
+  CHECK(decide().retry);
+  CHECK(decide().refused == reason::no_token);
+  CHECK(held_attempts(budget) == 1);
+}
+
+TEST_CASE("tokens follow the ratio of first attempts and decay") {
+  retry_tokens tokens;
+  support::time_point now{};
+  int retries = 0;
+  for (int call = 0; call < 1000; ++call) {
+    earn_retry(tokens, 0.1, now);
+    retries += take_retry(tokens, now) ? 1 : 0;
+  }
+  CHECK(retries <= 101);
+  CHECK(retries >= 99);
+  for (int call = 0; call < 1000; ++call) {
+    earn_retry(tokens, 0.1, now);
+  }
+  CHECK(tokens.thousandths == 10000);
+  now += milliseconds(1000);
+  CHECK(take_retry(tokens, now));
+  CHECK(tokens.thousandths == 4500);
+}
--- /dev/null
+++ b/unittests/decide/share_property_test.cpp
@@ -0,0 +1,128 @@
+// The division of a budget among organisations, and what thresholds do with it, against an oracle
+// that sums up demand call by call.
+#include "../../lib/decide/share_allocation.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include <catch2/catch.hpp>
+
+#include "found_after.h"
+
+using namespace acaciasill;
+using namespace acaciasill::decide;
+using acaciasill::decide::testing::found_after;
+
+namespace {
+
+enum class fault { none, guarantee_ignored, half_lent, rank_order_turned };
+
+constexpr std::uint32_t organisations = 4;
+constexpr double tolerance = 0.02;
+
+struct world {
+  gate counters{organisations, 100};
+  gate_view view;
+  threshold_controller controller{organisations};
+};
+
+void set_up(world& all, support::random_source& random) {
+  all.view.organisations = {{0.5, 2.0}, {0.2, 1.0}, {0.1, 1.0}, {0.0, 1.0}};
+  all.controller.open = false;
+  all.controller.budget = 10.0 + support::uniform_unit(random) * 100.0;
+  for (std::uint32_t index = 0; index < organisations; ++index) {
+    auto& demand = all.controller.demand[index];
+    for (auto& bucket : demand.offered) {
+      bucket = random() % 3 == 0 ? support::uniform_unit(random) * 8.0 : 0.0;
+    }
+    demand.total = std::accumulate(demand.offered.begin(), demand.offered.end(), 0.0);
+    demand.highest = accept_all;
+    all.controller.active.push_back(index);
+  }
+}
+
+// The oracle's count of the calls of a period that a threshold admits.
+double admitted(const organisation_demand& demand, level threshold) {
+  constexpr auto width = static_cast<double>(level{1} << bucket_shift);
+  double sum = 0.0;
+  for (unsigned bucket = 0; bucket < bucket_count; ++bucket) {
+    const double part = (static_cast<double>(threshold) + 1.0 - width * bucket) / width;
+    sum += demand.offered[bucket] * std::clamp(part, 0.0, 1.0);
+  }
+  return sum;
+}
+
+// The least important rank of which something, and the most important of which not all, is let in.
+std::pair<int, int> rank_edges(const organisation_demand& demand, double calls) {
+  int last_in = -1;
+  int first_out = 8;
+  double above = 0.0;
+  for (int rank = 0; rank < 8; ++rank) {
+    double in_rank = 0.0;
+    for (unsigned bucket = 0; bucket < 8; ++bucket) {
+      in_rank += demand.offered[static_cast<unsigned>(rank) * 8 + bucket];
+    }
+    const double granted = std::clamp(calls - above, 0.0, in_rank);
+    last_in = granted > tolerance ? rank : last_in;
+    first_out = granted < in_rank - tolerance ? std::min(first_out, rank) : first_out;
+    above += in_rank;
+  }
+  return {last_in, first_out};
+}
+
+bool shares_hold(fault injected) {
+  support::random_source random(*rc::gen::arbitrary<std::uint64_t>());
+  world all;
+  set_up(all, random);
+  const auto view = all.view;
+  const double budget = all.controller.budget;
+  if (injected == fault::guarantee_ignored) {
+    all.view.organisations.assign(organisations, {0.0, 1.0});
+  }
+  if (injected == fault::half_lent) {
+    all.controller.budget /= 2.0;
+  }
+  if (injected == fault::rank_order_turned) {
+    all.view.organisations.assign(organisations, {0.25, 1.0});
+  }
+  allocate_shares(all.counters, all.view, all.controller, 1000.0);
+  double sum = 0.0;
+  double demand_sum = 0.0;
+  int first_out = 8;
+  for (std::uint32_t index = 0; index < organisations; ++index) {
+    const auto& demand = all.controller.demand[index];
+    const double calls = admitted(demand, all.counters.organisations[index].threshold);
+    const double own = view.organisations[index].guaranteed * budget;
+    if (calls + tolerance < std::min(own, demand.total)) {
+      return false; // The guaranteed share does not hold.
+    }
+    sum += calls;
+    demand_sum += demand.total;
+    first_out = std::min(first_out, rank_edges(demand, calls).second);
+  }
+  if (std::abs(sum - std::min(budget, demand_sum)) > 4 * tolerance) {
+    return false; // Capacity is left over, or more was given than there is.
+  }
+  for (std::uint32_t index = 0; index < organisations; ++index) {
+    const auto& demand = all.controller.demand[index];
+    const double calls = admitted(demand, all.counters.organisations[index].threshold);
+    const bool lent = calls > view.organisations[index].guaranteed * budget + tolerance;
+    if (lent && rank_edges(demand, calls).first > first_out) {
+      return false; // A slot was lent past a more important rank that still asks.
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+TEST_CASE("guaranteed shares hold, unused ones are lent by rank, nothing is left over") {
+  CHECK(rc::check([] { RC_ASSERT(shares_hold(fault::none)); }));
+}
+
+TEST_CASE("the shares' property finds each deliberate fault") {
+  CHECK(found_after("guarantee ignored", [] { return shares_hold(fault::guarantee_ignored); }) > 0);
+  CHECK(found_after("half of the budget lost", [] { return shares_hold(fault::half_lent); }) > 0);
+  CHECK(found_after("everything guaranteed, ranks unheeded",
+                    [] { return shares_hold(fault::rank_order_turned); }) > 0);
+}
