--- a/include/acaciasill/model/settings_reader.h
+++ b/include/acaciasill/model/settings_reader.h
@@ -56,7 +56,7 @@
 // Reads one mapping key by key. A field whose key is absent or wrong keeps its value.
 class settings_reader {
 public:
-  settings_reader(std::string file, YAML::Node node, std::string object = {});
+  settings_reader(std::string file, const YAML::Node& node, std::string object = {});
 
   // Each of these reads one key into the field and records what is wrong with it. Bounds are
   // inclusive.
--- a/lib/model/settings_reader.cpp
+++ b/lib/model/settings_reader.cpp
@@ -12,7 +12,7 @@
 
 using support::result_code;
 
-settings_reader::settings_reader(std::string file, YAML::Node node, std::string object)
+settings_reader::settings_reader(std::string file, const YAML::Node& node, std::string object)
     : file_(std::move(file)), object_(std::move(object)), line_(node.Mark().line + 1) {
   if (node.IsNull()) {
     return; // An empty document stands for a mapping without keys.
@@ -119,7 +119,7 @@
   if (!node->IsSequence()) {
     return reject(key, result_code::wrong_type, "a list of mappings is expected");
   }
-  for (const auto& item : *node) {
+  for (const YAML::Node& item : *node) {
     settings_reader child(file_, item, object_);
     read(child);
     const auto found = child.finish();
--- a/lib/net/platform_client.cpp
+++ b/lib/net/platform_client.cpp
@@ -161,18 +161,18 @@
       attempt ended = std::move(*found);
       in_flight_.erase(found);
       multi_.remove(*ended.transfer);
-      finish_attempt(std::move(ended), ended.transfer->take_result(finished->code));
+      const auto result = ended.transfer->take_result(finished->code);
+      finish_attempt(std::move(ended.work), result);
     }
   }
 
-  void finish_attempt(attempt ended, transfer_result result) {
+  void finish_attempt(exchange work, const transfer_result& result) {
     const auto now = support::monotonic_now();
     if (!result.response || is_platform_failure(*result.response)) {
       on_failure(breaker_, settings_.breaker, now, random_);
     } else {
       on_success(breaker_);
     }
-    exchange& work = ended.work;
     platform_answer reply = interpret(work, result);
     work.unsettled = work.unsettled || reply.end == platform_end::unknown;
     const bool is_final = reply.end == platform_end::done || reply.end == platform_end::refused;
--- a/tools/standin-platform/main.cpp
+++ b/tools/standin-platform/main.cpp
@@ -81,7 +81,7 @@
   server_settings.port = settings.port;
   server_settings.max_body_bytes = net::max_platform_body_bytes;
   net::http_server server(context, server_settings,
-                          {[&](net::http_request request, net::http_responder respond) {
+                          {[&](const net::http_request& request, net::http_responder respond) {
                              auto result = service.handle(request, support::monotonic_now());
                              if (result.answered) {
                                answer_later(context, std::move(result), std::move(respond));
