--- /dev/null
+++ b/benchmarks/cases/__init__.py
@@ -0,0 +1,1 @@
+"""The measurement cases that benchmarks/run starts by name."""
--- /dev/null
+++ b/benchmarks/cases/overload.py
@@ -0,0 +1,223 @@
+"""Whole requests under overload: goodput, priorities, organisations, recovery, retries."""
+
+from .load import phase, run_load
+from .mesh import (Mesh, Service, chain, chain_capacity, configuration, write_configuration)
+from .verdicts import note, ratio, verdict
+
+DEADLINE_MS = 1000
+HARD_RETRIES = 5
+
+
+def start_chain(processes, services, mode="protect", limits=None):
+    """Returns the mesh and the addresses of all its daemons, each of which callers may use."""
+    folder = write_configuration(processes.path("set"), configuration(services, limits=limits))
+    mesh = Mesh(processes, mode=mode, configuration_dir=folder)
+    mesh.add_services(services, prefix=f"{mode}-")
+    mesh.wait_ready(mesh.of(services[0].name), services[0].name)
+    return mesh, [node.host for node in mesh.nodes]
+
+
+def call_class(name, rate, priority="normal", organisation="large", retries=HARD_RETRIES, **more):
+    return {"name": name, "service": "a", "path": f"/{priority}", "organisation": organisation,
+            "rate": rate, "deadline_ms": DEADLINE_MS, "retries": retries, **more}
+
+
+def plan_of(targets, classes, phases, options, **more):
+    return {"targets": targets, "threads": 2, "connections": 2000, "seed": options.seed,
+            "classes": classes, "phases": phases, **more}
+
+
+def print_phases(results, label):
+    for row in results.classes:
+        note(run=label, phase=row["phase"], kind=row["class"],
+             offered_per_s=round(row["offered"] / row["length_s"], 1),
+             useful_per_s=round(row["useful"] / row["length_s"], 1),
+             attempts=row["attempts"], refusals=row["refusals"],
+             p50=row["latency_ms"]["p50"], p99=row["latency_ms"]["p99"])
+    note(run=label, foreign_answers=results.summary["foreign_answers"],
+         cut_answers=results.summary["cut_answers"], recovery_ms=results.summary["recovery_ms"])
+
+
+def print_deep(mesh, label):
+    """How much of the deep service's work was for requests that came to nothing."""
+    counters = [node.counters() for node in mesh.of("d")]
+    note(run=label, service="d", runs=sum(one["runs"] for one in counters if one),
+         cancelled=sum(one["cancelled"] for one in counters if one),
+         not_started=sum(one["not_started"] for one in counters if one))
+
+
+def stop_mesh(processes):
+    processes.stop_all()
+    processes.started.clear()
+
+
+def goodput_run(processes, mode, options):
+    services = chain()
+    capacity = chain_capacity(services) * options.load
+    mesh, targets = start_chain(processes, services, mode)
+    phases = [phase("warm", 4, calls=0.7 * capacity), phase("capacity", 8, calls=capacity),
+              phase("twice", 9, calls=2 * capacity), phase("between", 3, calls=capacity),
+              phase("ten", 9, calls=10 * capacity)]
+    plan = plan_of(targets, [call_class("calls", 0)], phases, options)
+    results = run_load(processes, f"goodput-{mode}", plan)
+    print_phases(results, mode)
+    print_deep(mesh, mode)
+    stop_mesh(processes)
+    return {name: results.goodput(name) for name in ("capacity", "twice", "ten")}
+
+
+def overload_goodput(processes, options):
+    protect = goodput_run(processes, "protect", options)
+    passthrough = goodput_run(processes, "passthrough", options)
+    value = {"twice": ratio(protect["twice"], protect["capacity"]),
+             "ten": ratio(protect["ten"], protect["capacity"])}
+    baseline = {"capacity_per_s": protect["capacity"],
+                "nominal_per_s": chain_capacity(chain()) * options.load,
+                "passthrough_capacity_per_s": passthrough["capacity"],
+                "passthrough_twice": ratio(passthrough["twice"], passthrough["capacity"]),
+                "passthrough_ten": ratio(passthrough["ten"], passthrough["capacity"])}
+    bound = {"twice": 0.95, "ten": 0.90}
+    good = all(value[name] >= bound[name] for name in bound)
+    return verdict(value, "ratio of goodput", bound, baseline, good)
+
+
+def priority_run(processes, mode, options):
+    services = chain()
+    capacity = chain_capacity(services) * options.load
+    mesh, targets = start_chain(processes, services, mode)
+    classes = [call_class("important", 0.5 * capacity, "important"),
+               call_class("normal", 0, "normal"), call_class("bulk", 0, "bulk")]
+    phases = [phase("warm", 3),
+              phase("overload", 20, normal=2.0 * capacity, bulk=3.0 * capacity)]
+    results = run_load(processes, f"priority-{mode}", plan_of(targets, classes, phases, options))
+    print_phases(results, mode)
+    print_deep(mesh, mode)
+    stop_mesh(processes)
+    return results.success("overload", "important")
+
+
+def priority(processes, options):
+    value = priority_run(processes, "protect", options)
+    baseline = priority_run(processes, "passthrough", options)
+    return verdict(value, "success of the most important class", 0.999, baseline, value >= 0.999)
+
+
+# The small organisations of the configuration, each with a tenth of the capacity guaranteed.
+SMALL = ("small-1", "small-2", "small-3", "small-4")
+SMALL_RATE = 0.08
+LARGE_SHARE = 0.5
+
+
+def fairness_run(processes, mode, options):
+    services = chain()
+    capacity = chain_capacity(services) * options.load
+    mesh, targets = start_chain(processes, services, mode)
+    classes = [call_class("large", 0)]
+    classes += [call_class(name, 0, organisation=name) for name in SMALL]
+    surge = {name: 2.5 * capacity for name in SMALL}
+    phases = [phase("warm", 3, **{"small-1": SMALL_RATE * capacity}),
+              phase("alone", 10, **{"small-1": SMALL_RATE * capacity}),
+              phase("large-surges", 12, large=10 * capacity,
+                    **{"small-1": SMALL_RATE * capacity}),
+              phase("between", 3, large=0.4 * capacity),
+              phase("small-surge", 12, large=LARGE_SHARE * capacity, **surge)]
+    results = run_load(processes, f"fairness-{mode}", plan_of(targets, classes, phases, options))
+    print_phases(results, mode)
+    print_deep(mesh, mode)
+    stop_mesh(processes)
+    # Success ratios rather than rates, so that the draw of arrivals of two phases does not count.
+    small = ratio(results.success("large-surges", "small-1"), results.success("alone", "small-1"))
+    return {"small": small, "large": results.success("small-surge", "large")}
+
+
+def fairness(processes, options):
+    value = fairness_run(processes, "protect", options)
+    baseline = fairness_run(processes, "passthrough", options)
+    bound = {"small": 0.95, "large": 0.95}
+    good = all(value[name] >= bound[name] for name in bound)
+    return verdict(value, "ratio of goodput", bound, baseline, good)
+
+
+BEFORE_S = 8
+FAULT_S = 5
+AFTER_S = 15
+
+
+def recovery_run(processes, mode, options):
+    services = chain()
+    capacity = chain_capacity(services) * options.load
+    mesh, targets = start_chain(processes, services, mode)
+    deep = [f"http://{node.standin_address}/standin/control" for node in mesh.of("d")]
+    faults = [{"at_ms": at * 1000, "post": url, "body": f'{{"slow_factor": {factor}}}'}
+              for at, factor in ((BEFORE_S, 10), (BEFORE_S + FAULT_S, 1)) for url in deep]
+    phases = [phase("before", BEFORE_S, calls=0.9 * capacity),
+              phase("fault", FAULT_S, calls=1.5 * capacity),
+              phase("after", AFTER_S, calls=1.5 * capacity)]
+    spans = {"before_from_ms": 3000, "before_to_ms": BEFORE_S * 1000,
+             "end_ms": (BEFORE_S + FAULT_S) * 1000}
+    plan = plan_of(targets, [call_class("calls", 0)], phases, options, faults=faults,
+                   recovery=spans)
+    results = run_load(processes, f"recovery-{mode}", plan)
+    print_phases(results, mode)
+    note(run=mode, useful_by_100_ms=results.series[0]["useful"])
+    stop_mesh(processes)
+    recovery_ms = results.summary["recovery_ms"]
+    return None if recovery_ms is None else recovery_ms / 1000.0
+
+
+def recovery(processes, options):
+    value = recovery_run(processes, "protect", options)
+    baseline = recovery_run(processes, "passthrough", options)
+    return verdict(value, "s to 95% of goodput before; null where never", 2.0, baseline,
+                   value is not None and value <= 2.0)
+
+
+MINTED = 3
+
+
+def deep_attempts(mesh):
+    """Attempts at the deepest service by request id, over all its servers."""
+    attempts = {}
+    for node in mesh.of("d"):
+        for row in node.lines("requests"):
+            attempts[row[0]] = attempts.get(row[0], 0) + int(row[1])
+    return attempts
+
+
+def straight_chain():
+    """Without fan-out, so that each attempt beyond the first is a retry."""
+    return [Service("a", 2, 60, 2.0, ["b"], queue_bound=20),
+            Service("b", 2, 40, 5.0, ["d"], queue_bound=20),
+            Service("d", 3, 7, 50.0, queue_bound=3)]
+
+
+def retry_run(processes, mode, options, fail_ratio):
+    """Hard retries come as requests of their own, each with its own id."""
+    services = straight_chain()
+    capacity = services[-1].capacity() * options.load
+    mesh, targets = start_chain(processes, services, mode, limits={"spare_attempts": MINTED})
+    before = set(deep_attempts(mesh))
+    for node in mesh.of("d")[:2]:
+        node.control(fail_ratio=fail_ratio)
+    classes = [call_class("calls", 3 * capacity, same_id=False)]
+    results = run_load(processes, f"retry-{mode}-{fail_ratio}",
+                       plan_of(targets, classes, [phase("overload", 12)], options))
+    print_phases(results, mode)
+    attempts = [count for one, count in deep_attempts(mesh).items() if one not in before]
+    stop_mesh(processes)
+    figures = {"largest": max(attempts, default=0), "mean": ratio(sum(attempts), len(attempts)),
+               "requests": len(attempts)}
+    note(run=mode, fail_ratio=fail_ratio, **figures)
+    return figures
+
+
+def retry_bound(processes, options):
+    overload = retry_run(processes, "protect", options, 0.0)
+    faults = retry_run(processes, "protect", options, 0.3)
+    passthrough = retry_run(processes, "passthrough", options, 0.3)
+    value = {"largest": max(overload["largest"], faults["largest"]),
+             "mean_in_overload": overload["mean"], "mean_with_faults": faults["mean"]}
+    bound = {"largest": 1 + MINTED, "mean_in_overload": 1.1}
+    good = (overload["requests"] > 0 and value["largest"] <= bound["largest"]
+            and value["mean_in_overload"] <= bound["mean_in_overload"])
+    return verdict(value, "attempts at the deepest hop", bound, passthrough, good)
--- a/lib/net/load_plan.cpp
+++ b/lib/net/load_plan.cpp
@@ -37,11 +37,11 @@
   reader.text_list("targets", kind.targets);
   reader.number("rate", kind.rate, 0.0, max_rate);
   reader.integer("clients", kind.clients, 0, 100000);
-  reader.time_span("think_time", kind.think_time, milliseconds{0}, max_span);
-  reader.time_span("deadline", kind.deadline, milliseconds{1}, max_span);
+  reader.time_span("think_time_ms", kind.think_time, milliseconds{0}, max_span);
+  reader.time_span("deadline_ms", kind.deadline, milliseconds{1}, max_span);
   reader.flag("send_deadline", kind.send_deadline);
   reader.integer("retries", kind.retries, 0, 1000000);
-  reader.time_span("retry_pause", kind.retry_pause, milliseconds{0}, max_span);
+  reader.time_span("retry_pause_ms", kind.retry_pause, milliseconds{0}, max_span);
   reader.flag("same_id", kind.same_id);
   reader.flag("idempotency_key", kind.idempotency_key);
   reader.integer("body_bytes", kind.body_bytes, 0, max_body_bytes);
@@ -49,7 +49,7 @@
 
 void read_phase(settings_reader& reader, load_phase& phase) {
   reader.text("name", phase.name, presence::required);
-  reader.time_span("length", phase.length, milliseconds{1}, max_span, presence::required);
+  reader.time_span("length_ms", phase.length, milliseconds{1}, max_span, presence::required);
   reader.sections("rates", [&phase](settings_reader& row) {
     class_rate rate;
     row.text("class", rate.name, presence::required);
@@ -59,14 +59,14 @@
 }
 
 void read_fault(settings_reader& reader, load_fault& fault) {
-  reader.time_span("at", fault.at, milliseconds{0}, max_span, presence::required);
+  reader.time_span("at_ms", fault.at, milliseconds{0}, max_span, presence::required);
   reader.text("post", fault.post);
   reader.text("body", fault.body);
   read_choice(reader, "signal", fault.signal, {"none", "stop", "resume", "kill", "terminate"});
   reader.integer("pid", fault.pid, 0, INT32_MAX);
   const bool is_signal = fault.signal != fault_signal::none;
   if (is_signal == !fault.post.empty() || is_signal != (fault.pid > 0)) {
-    reader.reject("at", support::result_code::missing_key,
+    reader.reject("at_ms", support::result_code::missing_key,
                   "expected either a post, or a signal with a pid");
   }
 }
@@ -103,9 +103,9 @@
                   [&plan](settings_reader& row) { read_fault(row, plan.faults.emplace_back()); });
   reader.section("recovery", [&plan](settings_reader& row) {
     const milliseconds zero{0};
-    row.time_span("before_from", plan.recovery.before_from, zero, max_span, presence::required);
-    row.time_span("before_to", plan.recovery.before_to, zero, max_span, presence::required);
-    row.time_span("end", plan.recovery.end, zero, max_span, presence::required);
+    row.time_span("before_from_ms", plan.recovery.before_from, zero, max_span, presence::required);
+    row.time_span("before_to_ms", plan.recovery.before_to, zero, max_span, presence::required);
+    row.time_span("end_ms", plan.recovery.end, zero, max_span, presence::required);
   });
   reader.text("call_log", plan.call_log);
   check_references(reader, plan);
--- a/tools/standin-backend/settings.cpp
+++ b/tools/standin-backend/settings.cpp
@@ -45,7 +45,7 @@
 
 void read_report(model::settings_reader& reader, report_settings& report) {
   read_choice(reader, "mode", report.mode, {"honest", "lagging", "misleading"});
-  reader.time_span("lag", report.lag, milliseconds{0}, max_span);
+  reader.time_span("lag_ms", report.lag, milliseconds{0}, max_span);
   reader.number("in_flight_factor", report.in_flight_factor, 0.0, max_factor);
   reader.number("slots_factor", report.slots_factor, 0.0, max_factor);
 }
@@ -56,7 +56,7 @@
   reader.number("service_time_ms", target.service_time_ms, 0.0, max_service_time_ms);
   read_choice(reader, "distribution", target.distribution, {"fixed", "exponential"});
   reader.number("connection_cost_ms", target.connection_cost_ms, 0.0, max_service_time_ms);
-  reader.time_span("cold_for", target.cold_for, milliseconds{0}, max_span);
+  reader.time_span("cold_for_ms", target.cold_for, milliseconds{0}, max_span);
   reader.number("cold_factor", target.cold_factor, 1.0, max_factor);
   read_choice(reader, "over_slots", target.beyond, {"queue", "collapse"});
   reader.integer("queue_bound", target.queue_bound, 0, max_slots);
@@ -79,8 +79,8 @@
   reader.section("report",
                  [&target](model::settings_reader& report) { read_report(report, target.report); });
   reader.flag("track", target.track);
-  reader.time_span("leave_grace", target.leave_grace, milliseconds{0}, max_span);
-  reader.time_span("drain_timeout", target.drain_timeout, milliseconds{0}, max_span);
+  reader.time_span("leave_grace_ms", target.leave_grace, milliseconds{0}, max_span);
+  reader.time_span("drain_timeout_ms", target.drain_timeout, milliseconds{0}, max_span);
   reader.integer("seed", target.seed, 0, INT64_MAX);
   if (endpoint parsed; !parse_endpoint(target.listen, parsed)) {
     reader.reject("listen", support::result_code::wrong_type, "expected ADDRESS:PORT");
