--- a/benchmarks/cases/mesh.py
+++ b/benchmarks/cases/mesh.py
@@ -65,6 +65,7 @@
     for service in services:
         objects.append({"kind": "service", "name": service.name, "limits": "usual",
                         "default_priority": "normal", "slots": service.slots,
+                        "connections": max(750, 2 * service.slots),
                         "expected_upstreams": service.upstreams, "calls": service.calls})
         for name in PRIORITIES:
             objects.append({"kind": "route", "name": f"{service.name}-{name}",
@@ -156,6 +157,7 @@
 
     def start_standin(self, node, service):
         settings = {"service": service.name, "daemon": node.url, "slots": service.slots,
+                    "connections": max(750, 2 * service.slots),
                     "service_time_ms": service.service_time_ms,
                     "calls": [{"service": name, "path": "/normal"} for name in service.calls],
                     **service.standin}
