--- /dev/null
+++ b/unittests/control/claims_fault_lease_test.cpp
@@ -0,0 +1,51 @@
+// The claims once more, in a namespace of their own and with a deliberate fault, to show that the
+// model finds it. What does not belong to that namespace is read before the macro renames it.
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <variant>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_split.h"
+
+#include "acaciasill/support/hash.h"
+#include "acaciasill/support/random.h"
+#include "acaciasill/support/result_code.h"
+#include "acaciasill/support/time.h"
+
+#define ACS_FAULT_CLAIM_IS_A_LEASE
+#define control control_with_leases
+
+#include "../../lib/control/claims.cpp"
+#include "../../lib/control/claims_row.cpp"
+
+#include "control/claims_model.h"
+
+#undef control
+
+namespace {
+
+using namespace acaciasill::control_with_leases::tests;
+
+// Cases within which the fault must be found.
+constexpr int max_cases = 1000;
+
+} // namespace
+
+TEST_CASE("a claim that is taken over like a lease is found out", "[control]") {
+  rc::detail::TestParams parameters;
+  parameters.seed = 20261203;
+  parameters.maxSuccess = max_cases;
+  const auto result = rc::detail::checkTestable([] { check_claims(*some_moves()); },
+                                                rc::detail::TestMetadata(), parameters);
+  REQUIRE(result.is<rc::detail::FailureResult>());
+  WARN("found after " << result.get<rc::detail::FailureResult>().numSuccess
+                      << " cases that passed");
+}
