Let the advice to come back grow with a caller's excess

The advice follows the refused calls for each admitted one and falls by periodic reduction, at the gate and at the entry alike; the answer itself goes out at once. The part of the queueing target below which thresholds open again is now a field of the gate's view, so that it can be swept.

--- a/benchmarks/decide_overload.cpp
+++ b/benchmarks/decide_overload.cpp
@@ -12,7 +12,8 @@
 
 void print_header(const char* title, const char* column) {
   std::printf("\n%s\n\n| %s | before | under | deviation | recovery s | in vain | rank 0 | "
-              "attempts | org 0 | org 1 | org 2 |\n|---|---|---|---|---|---|---|---|---|---|---|\n",
+              "deep attempts | entry attempts | org 0 | org 1 | org 2 "
+              "|\n|---|---|---|---|---|---|---|---|---|---|---|---|\n",
               title, column);
 }
 
@@ -20,10 +21,11 @@
   loop all(settings);
   run(all);
   const auto sum = summarise(all);
-  std::printf("| %s | %.3f | %.3f | %.3f | %.1f | %.3f | %.4f | %.2f | %.2f | %.2f | %.2f |\n",
-              label, sum.before, sum.under, sum.deviation, sum.recovery_s, sum.wasted,
-              sum.important, sum.amplification, sum.organisations[0], sum.organisations[1],
-              sum.organisations[2]);
+  std::printf(
+      "| %s | %.3f | %.3f | %.3f | %.1f | %.3f | %.4f | %.2f | %.2f | %.2f | %.2f | %.2f |\n",
+      label, sum.before, sum.under, sum.deviation, sum.recovery_s, sum.wasted, sum.important,
+      sum.amplification, sum.entry_attempts, sum.organisations[0], sum.organisations[1],
+      sum.organisations[2]);
   if (std::getenv("DECIDE_OVERLOAD_BINS") != nullptr) {
     for (std::size_t index = 25; index < bins; ++index) {
       std::printf("%.2f ", all.results[index].useful * 10.0 / capacity_per_s);
@@ -79,6 +81,22 @@
   }
 }
 
+// Clients that heed the advice to come back, for up to three seconds, with and without its growth.
+void print_advice(std::uint64_t seed) {
+  print_header("Advice to come back", "case");
+  for (const auto& tried : scenarios) {
+    auto settings = settings_for(tried, seed);
+    settings.client_patience = std::chrono::seconds(3);
+    settings.client_retries = 100;
+    print_row(tried.label, settings);
+    settings.client_heeds_advice = true;
+    settings.advice_grows = false;
+    print_row("... heeds a flat advice", settings);
+    settings.advice_grows = true;
+    print_row("... heeds an advice that grows", settings);
+  }
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -90,6 +108,10 @@
   if (std::getenv("DECIDE_OVERLOAD_SHORT") != nullptr) {
     return 0;
   }
+  print_advice(seed);
+  print_sweep(
+      "exit part", {0.0, 0.25, 0.5, 0.75, 1.0}, seed,
+      +[](loop_settings& settings, double value) { settings.exit_part = value; });
   print_sweep(
       "threshold step", {0.01, 0.02, 0.05, 0.1, 0.2}, seed,
       +[](loop_settings& settings, double value) { settings.threshold_step = value; });
--- a/include/acaciasill/decide/gate.h
+++ b/include/acaciasill/decide/gate.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "acaciasill/decide/advice.h"
 #include "acaciasill/decide/level.h"
 #include "acaciasill/support/random.h"
 #include "acaciasill/support/result_code.h"
@@ -37,6 +38,8 @@
   std::uint32_t queue_places = 64;
   // The part of the admitted calls that one step of recovery adds.
   double threshold_step = 0.05;
+  // The part of queue_target below which the upstream recovers; between the two nothing opens.
+  double exit_part = 0.5;
 
   bool operator==(const gate_view&) const = default;
 };
@@ -61,11 +64,7 @@
   std::atomic<std::uint32_t> arrivals{0};
   // The least important level offered since the last adjustment.
   std::atomic<level> highest{0};
-  // Calls refused since the last adjustment.
-  std::atomic<std::uint32_t> refused{0};
-  // How far the organisation's refused calls exceeded its admitted ones, in hundredths; it falls
-  // by periodic reduction and spreads retry_after.
-  std::atomic<std::uint32_t> excess{0};
+  caller_excess excess;
   // Calls offered since the last adjustment, by bucket of level.
   std::array<std::atomic<std::uint32_t>, bucket_count> offered{};
 };
--- a/include/acaciasill/decide/request_path.h
+++ b/include/acaciasill/decide/request_path.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASILL_DECIDE_REQUEST_PATH_H
 #define ACACIASILL_DECIDE_REQUEST_PATH_H
 
+#include "acaciasill/decide/advice.h"
 #include "acaciasill/decide/concurrency_limit.h"
 #include "acaciasill/decide/duplicates.h"
 #include "acaciasill/decide/entry_thresholds.h"
--- /dev/null
+++ b/lib/decide/advice.cpp
@@ -0,0 +1,46 @@
+#include "acaciasill/decide/advice.h"
+
+#include <algorithm>
+
+namespace acaciasill::decide {
+
+namespace {
+
+constexpr auto relaxed = std::memory_order_relaxed;
+constexpr double shortest_ms = 100.0;
+constexpr double longest_ms = 2000.0;
+// In each period the excess falls by 1 / 2^4 and a constant.
+constexpr std::uint32_t reduction_shift = 4;
+constexpr std::uint32_t reduction_constant = 2;
+// An excess below this counts as none, so that it ends.
+constexpr std::uint32_t exit_hundredths = 20;
+constexpr double most_hundredths = 5000.0;
+
+} // namespace
+
+void note_admitted(caller_excess& excess) {
+  excess.admitted.fetch_add(1, relaxed);
+}
+
+void note_refused(caller_excess& excess) {
+  excess.refused.fetch_add(1, relaxed);
+}
+
+void reduce_excess(caller_excess& excess) {
+  const double refused = excess.refused.exchange(0, relaxed);
+  const double admitted = std::max<double>(1.0, excess.admitted.exchange(0, relaxed));
+  const auto present =
+      static_cast<std::uint32_t>(std::min(most_hundredths, 100.0 * refused / admitted));
+  const auto before = excess.hundredths.load(relaxed);
+  const auto reduction = (before >> reduction_shift) + reduction_constant;
+  const auto reduced = before > reduction + exit_hundredths ? before - reduction : 0;
+  excess.hundredths.store(std::max(present, reduced), relaxed);
+}
+
+std::uint32_t retry_after_ms(const caller_excess& excess, support::random_source& random) {
+  const double part = static_cast<double>(excess.hundredths.load(relaxed)) / 100.0;
+  const double middle = std::min(longest_ms, shortest_ms * (1.0 + part));
+  return static_cast<std::uint32_t>(middle * (0.5 + support::uniform_unit(random)));
+}
+
+} // namespace acaciasill::decide
--- a/lib/decide/gate.cpp
+++ b/lib/decide/gate.cpp
@@ -8,10 +8,6 @@
 namespace {
 
 constexpr auto relaxed = std::memory_order_relaxed;
-// The shortest advice to come back, before jitter.
-constexpr double retry_after_base_ms = 100.0;
-// The longest advice, before jitter.
-constexpr double retry_after_longest_ms = 5000.0;
 // The part of a new service time in the smoothed one is 1 / 2^3.
 constexpr unsigned service_time_shift = 3;
 
@@ -27,12 +23,6 @@
   assert(before > 0 && "a slot is given back only once");
 }
 
-std::uint32_t retry_after(const organisation_counters& counters, support::random_source& random) {
-  const double excess = static_cast<double>(counters.excess.load(relaxed)) / 100.0;
-  const double base = std::min(retry_after_longest_ms, retry_after_base_ms * (1.0 + excess));
-  return static_cast<std::uint32_t>(base * (0.5 + support::uniform_unit(random)));
-}
-
 } // namespace
 
 gate::gate(std::uint32_t organisation_count, std::uint32_t initial_limit)
@@ -71,6 +61,7 @@
   if (!admits(counters.threshold.load(relaxed), request.level)) {
     return refuse(state, view, request, result_code::shed_at_upstream, random);
   }
+  note_admitted(counters.excess);
   if (state.waiting.load(relaxed) == 0 && take_slot(state, request.organisation)) {
     return {admission::run, result_code::ok, 0, reply_threshold(state, request)};
   }
@@ -98,7 +89,7 @@
 admit_decision refuse(gate& state, const gate_view& view, const request_facts& request,
                       support::result_code code, support::random_source& random) {
   auto& counters = state.organisations[request.organisation];
-  counters.refused.fetch_add(1, relaxed);
+  note_refused(counters.excess);
   if (code == support::result_code::shed_at_upstream) {
     const double share = view.organisations[request.organisation].guaranteed;
     const auto guaranteed = share * static_cast<double>(state.limit.load(relaxed));
@@ -107,7 +98,8 @@
       code = support::result_code::share_exceeded;
     }
   }
-  return {admission::refuse, code, retry_after(counters, random), reply_threshold(state, request)};
+  return {admission::refuse, code, retry_after_ms(counters.excess, random),
+          reply_threshold(state, request)};
 }
 
 level reply_threshold(const gate& state, const request_facts& request) {
--- a/lib/decide/share_allocation.cpp
+++ b/lib/decide/share_allocation.cpp
@@ -13,7 +13,7 @@
 // A bucket with less remembered demand, in calls of a period, counts as unused.
 constexpr double unused_bucket = 0.01;
 // Rounds of halving that find the level to which organisations are filled.
-constexpr int fill_rounds = 40;
+constexpr int fill_rounds = 24;
 
 double demand_of_rank(const organisation_demand& demand, unsigned rank) {
   double sum = 0.0;
--- a/lib/decide/threshold_controller.cpp
+++ b/lib/decide/threshold_controller.cpp
@@ -33,12 +33,6 @@
 constexpr double least_budget = 0.5;
 // All thresholds open once the budget exceeds the remembered demand by this factor.
 constexpr double open_margin = 1.2;
-// Periodic reduction of the excess: in each period it falls by 1 / 2^4 and a constant.
-constexpr std::uint32_t excess_shift = 4;
-constexpr std::uint32_t excess_constant = 2;
-// Excess below this, in hundredths, counts as none.
-constexpr std::uint32_t excess_exit = 20;
-constexpr std::uint32_t excess_largest = 5000;
 
 void smooth_bucket(double& remembered, double counted, bool closed) {
   if (!closed || counted > remembered) {
@@ -66,35 +60,27 @@
   const auto last_open = bucket_of(counters.threshold.load(relaxed));
   demand.total = 0.0;
   for (unsigned bucket = 0; bucket < bucket_count; ++bucket) {
-    const std::uint32_t counted = arrivals == 0 ? 0 : counters.offered[bucket].exchange(0, relaxed);
+    // Most buckets are empty, and a read costs far less than an exchange.
+    auto& offered = counters.offered[bucket];
+    const bool any = arrivals > 0 && offered.load(relaxed) > 0;
+    const std::uint32_t counted = any ? offered.exchange(0, relaxed) : 0;
     smooth_bucket(demand.offered[bucket], counted, bucket > last_open);
     demand.total += demand.offered[bucket];
   }
 }
 
-void reduce_excess(organisation_counters& counters, const organisation_demand& demand) {
-  const double refused = counters.refused.exchange(0, relaxed);
-  const double admitted = std::max(1.0, demand.total - refused);
-  const auto present =
-      static_cast<std::uint32_t>(std::min<double>(excess_largest, 100.0 * refused / admitted));
-  const auto before = counters.excess.load(relaxed);
-  const auto reduction = (before >> excess_shift) + excess_constant;
-  const auto reduced = before > reduction + excess_exit ? before - reduction : 0;
-  counters.excess.store(std::max(present, reduced), relaxed);
-}
-
 void collect(gate& state, threshold_controller& controller) {
   controller.active.clear();
   for (std::uint32_t index = 0; index < state.organisations.size(); ++index) {
     auto& counters = state.organisations[index];
     auto& demand = controller.demand[index];
     if (counters.arrivals.load(relaxed) == 0 && demand.total < negligible &&
-        counters.excess.load(relaxed) == 0) {
+        counters.excess.hundredths.load(relaxed) == 0) {
       demand.total = 0.0;
       continue;
     }
     collect_demand(counters, demand);
-    reduce_excess(counters, demand);
+    reduce_excess(counters.excess);
     controller.active.push_back(index);
   }
 }
@@ -172,11 +158,13 @@
                  const period_figures& figures) {
   const bool drops = figures.dropped > 1.0 && figures.dropped > tolerated_drops * figures.entered;
   const bool overloaded = drops || figures.delay > view.queue_target;
+  const auto exit_delay =
+      std::chrono::duration_cast<support::duration>(view.queue_target * view.exit_part);
   const double waiting = state.waiting.load(relaxed);
   state.overloaded.store(overloaded, relaxed);
   if (overloaded && controller.open) {
     close(state, controller);
-  } else if (!controller.open && (waiting > 0.0 || figures.delay > view.queue_target / 2)) {
+  } else if (!controller.open && (waiting > 0.0 || figures.delay > exit_delay)) {
     hold(state, view, controller);
   } else if (!controller.open) {
     loosen(state, view, controller);
--- a/unittests/decide/gate_test.cpp
+++ b/unittests/decide/gate_test.cpp
@@ -128,7 +128,7 @@
     adjust(counters, view, controller);
   }
   CHECK(counters.organisations[0].threshold == accept_all);
-  CHECK(counters.organisations[0].excess == 0);
+  CHECK(counters.organisations[0].excess.hundredths == 0);
 }
 
 TEST_CASE("in one instant no call is shed while a less important one is let in") {
--- a/unittests/decide/overload_loop.cpp
+++ b/unittests/decide/overload_loop.cpp
@@ -88,7 +88,9 @@
   }
   auto pause = all.settings.client_pause;
   if (all.settings.client_heeds_advice) {
-    pause = std::max<duration>(pause, milliseconds(request.retry_after_ms));
+    const auto flat = static_cast<std::int64_t>(100.0 * (0.5 + support::uniform_unit(all.random)));
+    const std::int64_t advice = all.settings.advice_grows ? request.retry_after_ms : flat;
+    pause = std::max<duration>(pause, milliseconds(advice));
   }
   at(all, all.now + pause, [&all, &request] { attempt(all, request); });
 }
@@ -96,7 +98,7 @@
 // The entry has the answer of the front.
 void answered(loop& all, loop_request& request, bool useful) {
   learn_threshold(all.thresholds, 0, request.facts.organisation, request.threshold, all.now);
-  if (!useful || all.now > request.given_up) {
+  if (!useful || all.now > request.facts.deadline) {
     bin(all).wasted += useful ? 1 : 0;
     retry_or_fail(all, request);
     return;
@@ -166,14 +168,22 @@
 }
 
 void attempt(loop& all, loop_request& request) {
+  if (all.now >= request.given_up) {
+    return;
+  }
   ++request.attempts;
+  bin(all).entry_attempts += 1;
+  request.facts.deadline = std::min(all.now + request_deadline, request.given_up);
   request.threshold = accept_all;
   if (all.settings.entry_sheds && !all.settings.passthrough &&
       shed_at_entry(all.thresholds, 0, request.facts.organisation, request.facts.level, all.now)) {
-    request.retry_after_ms = 100;
+    auto& excess = all.excess[request.facts.organisation];
+    note_refused(excess);
+    request.retry_after_ms = retry_after_ms(excess, all.random);
     retry_or_fail(all, request);
     return;
   }
+  note_admitted(all.excess[request.facts.organisation]);
   at(all, all.now + hop, [&all, &request] { offer(all, 0, request); });
 }
 
@@ -187,8 +197,7 @@
   request->rank = class_pick < 0.05 ? 0 : class_pick < 0.5 ? 2 : 5;
   request->facts.id = {all.random(), all.requests.size()};
   request->facts.level = make_level(request->rank, false, request->facts.id);
-  request->given_up = all.now + request_deadline;
-  request->facts.deadline = request->given_up;
+  request->given_up = all.now + all.settings.client_patience;
   bin(all).offered += 1;
   bin(all).offered_of_rank[request->rank] += 1;
   all.requests.push_back(std::move(request));
@@ -203,6 +212,9 @@
   for (auto& node : all.nodes) {
     adjust(node->counters, node->view, node->controller);
   }
+  for (auto& excess : all.excess) {
+    reduce_excess(excess);
+  }
   at(all, all.now + control_period, [&all] { control(all); });
 }
 
@@ -224,7 +236,8 @@
                  tried.queue_bound,
                  tried.queue_target,
                  tried.queue_places,
-                 tried.threshold_step};
+                 tried.threshold_step,
+                 tried.exit_part};
   nodes.push_back(std::make_unique<loop_node>(front_slots, front_slots, view));
   for (std::uint32_t index = 0; index < deep_upstreams; ++index) {
     nodes.push_back(std::make_unique<loop_node>(tried.believed_slots, deep_slots, view));
@@ -297,6 +310,7 @@
   double square = 0;
   double useful = 0;
   double important = 0;
+  double offered = 0;
   for (std::size_t index = 40; index < 80; ++index) {
     const auto& one = all.results[index];
     const double part = one.useful * 10.0 / capacity_per_s;
@@ -305,6 +319,8 @@
     sum.wasted += one.wasted;
     sum.important += one.useful_of_rank[0];
     important += one.offered_of_rank[0];
+    offered += one.offered;
+    sum.entry_attempts += one.entry_attempts;
     sum.amplification += one.deep_attempts;
     for (std::size_t organisation = 0; organisation < organisation_count; ++organisation) {
       sum.organisations[organisation] += one.useful_of_organisation[organisation];
@@ -313,6 +329,7 @@
   sum.deviation = std::sqrt(square / 40.0);
   sum.wasted /= std::max(1.0, useful);
   sum.amplification /= std::max(1.0, useful);
+  sum.entry_attempts /= std::max(1.0, offered);
   sum.important /= std::max(1.0, important);
   for (auto& part : sum.organisations) {
     part /= std::max(1.0, useful);
--- a/unittests/decide/overload_loop.h
+++ b/unittests/decide/overload_loop.h
@@ -22,7 +22,10 @@
   double slowness = 1.0;   // Factor on the deep service time during the pressure.
   int client_retries = 10; // Attempts of one client beyond the first.
   duration client_pause = milliseconds(20);
+  duration client_patience = milliseconds(500);
   bool client_heeds_advice = false;
+  bool advice_grows = true;
+  double exit_part = 0.5;
   bool passthrough = false;
   bool entry_sheds = true;
   double threshold_step = 0.05;
@@ -80,6 +83,7 @@
   std::array<double, organisation_count> useful_of_organisation{};
   double wasted = 0; // Calls that the front ran and the deep service refused or finished too late.
   double deep_attempts = 0;
+  double entry_attempts = 0;
 };
 
 // The whole loop.
@@ -105,6 +109,7 @@
   route_view route;
   spill_counters spill;
   entry_thresholds thresholds{1, organisation_count};
+  std::array<caller_excess, organisation_count> excess;
   std::vector<dropped_call> dropped;
   std::array<loop_bin, bins> results{};
   // Organisations' parts of the arrivals, and ranks of them.
@@ -123,7 +128,8 @@
       0;                // From the end of the pressure until goodput is and stays at 95% of before.
   double wasted = 0;    // Calls in vain at the front under pressure, in parts of useful ones.
   double important = 0; // Success of rank 0 under pressure.
-  double amplification = 0; // Attempts at the deep service for each useful one under pressure.
+  double entry_attempts = 0; // Attempts at the entry for each offered request, under pressure.
+  double amplification = 0;  // Attempts at the deep service for each useful one under pressure.
   std::array<double, organisation_count> organisations{};
 };
 loop_summary summarise(const loop& all);
