--- a/include/acaciasill/model/configuration_set.h
+++ b/include/acaciasill/model/configuration_set.h
@@ -57,6 +57,9 @@
 // of the first wrong field.
 absl::StatusOr<configuration> parse_set(std::string_view text);
 
+// The set as YAML documents that load_text reads back.
+std::string to_yaml(const configuration& set);
+
 // One field of an object that differs between two sets, each side as JSON.
 struct field_change {
   std::string key;
--- a/lib/model/set_json.cpp
+++ b/lib/model/set_json.cpp
@@ -266,6 +266,25 @@
   return set;
 }
 
+std::string to_yaml(const configuration& set) {
+  configuration ordered = set;
+  normalise(ordered);
+  std::string text;
+  for_each_kind(ordered, [&](object_kind kind, const auto& objects) {
+    for (const auto& object : objects) {
+      absl::StrAppend(&text, text.empty() ? "" : "---\n", "kind: ", std::string(kind_name(kind)),
+                      "\n");
+      const json fields = write_object(object);
+      for (const auto& [key, value] : fields.items()) {
+        // A JSON value is a YAML value too.
+        absl::StrAppend(&text, key, ": ", value.dump(-1, ' ', true, json::error_handler_t::replace),
+                        "\n");
+      }
+    }
+  });
+  return text;
+}
+
 std::vector<object_change> difference(const configuration& before, const configuration& after) {
   configuration old_set = before;
   configuration new_set = after;
--- a/unittests/model/set_json_test.cpp
+++ b/unittests/model/set_json_test.cpp
@@ -63,6 +63,14 @@
   }));
 }
 
+TEST_CASE("a set comes back whole from YAML") {
+  loaded_set loaded;
+  std::vector<finding> findings;
+  load_text("shown", to_yaml(embedded_defaults()), loaded, findings);
+  CHECK(findings.empty());
+  CHECK(loaded.set == embedded_defaults());
+}
+
 TEST_CASE("the canonical form depends on content alone") {
   auto set = embedded_defaults();
   const auto text = serialise(set);
