--- /dev/null
+++ b/include/acaciasill/board/call_board.h
@@ -0,0 +1,63 @@
+#ifndef ACACIASILL_BOARD_CALL_BOARD_H
+#define ACACIASILL_BOARD_CALL_BOARD_H
+
+#include <atomic>
+#include <cstdint>
+#include <vector>
+
+#include "acaciasill/board/rcu_cell.h"
+#include "acaciasill/board/slot_registry.h"
+#include "acaciasill/board/views.h"
+#include "acaciasill/decide/duplicates.h"
+#include "acaciasill/decide/entry_thresholds.h"
+#include "acaciasill/decide/gate.h"
+#include "acaciasill/decide/parents.h"
+#include "acaciasill/decide/retry.h"
+#include "acaciasill/decide/routing.h"
+
+// The blackboard of one daemon: what controllers publish and what request threads count.
+namespace acaciasill::board {
+
+// Slots for organisations, services and routes; names beyond them share the last slot.
+inline constexpr std::uint32_t organisation_capacity = 256;
+inline constexpr std::uint32_t service_capacity = 1024;
+inline constexpr std::uint32_t route_capacity = 1024;
+
+// Subjects of learned thresholds: first the services, then the routes.
+inline constexpr std::uint32_t subject_capacity = service_capacity + route_capacity;
+
+// Calls that may be in flight at once in the tables of duplicates and of parents.
+inline constexpr std::uint32_t duplicate_capacity = 16384;
+inline constexpr std::uint32_t parent_capacity = 4096;
+
+// All state that request threads share. Views are replaced as a whole; the rest is plain atomics.
+struct call_board {
+  call_board();
+
+  slot_registry organisations{organisation_capacity};
+  slot_registry services{service_capacity};
+  slot_registry routes{route_capacity};
+
+  rcu_cell<configuration_view> configuration;
+  rcu_cell<routing_view> routing;
+  rcu_cell<decide::gate_view> admission;
+  rcu_cell<backend_target> backend;
+
+  decide::gate gate;
+  decide::entry_thresholds thresholds;
+  decide::duplicate_table duplicates;
+  decide::parent_table parents;
+  std::vector<decide::retry_tokens> retries;
+  std::vector<decide::spill_counters> spills;
+
+  // Whether the daemon is leaving and refuses new work.
+  std::atomic<bool> leaving{false};
+  // Calls of callers and of peers that have no answer yet.
+  std::atomic<std::uint64_t> calls_in_flight{0};
+  // Calls that the local backend server refused for load since the last look.
+  std::atomic<std::uint32_t> backend_sheds{0};
+};
+
+} // namespace acaciasill::board
+
+#endif
--- /dev/null
+++ b/include/acaciasill/daemon/call_context.h
@@ -0,0 +1,37 @@
+#ifndef ACACIASILL_DAEMON_CALL_CONTEXT_H
+#define ACACIASILL_DAEMON_CALL_CONTEXT_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "acaciasill/support/time.h"
+#include "acaciasill/wire/call.h"
+
+// The opaque x-acaciasill-context that a daemon gives to its backend server and that comes back
+// with the calls that the server makes. It proves that such a call belongs to a request that this
+// daemon is serving, so that an outside caller cannot raise its own rank, organisation or budget.
+namespace acaciasill::daemon {
+
+// What a call of the local backend server inherits from the call that it is made for.
+struct call_context {
+  wire::request_id id;
+  std::string organisation;
+  std::uint8_t rank = 0;
+  std::uint8_t depth = 0;
+  support::time_point deadline;
+
+  bool operator==(const call_context&) const = default;
+};
+
+// The text for the header, signed with the daemon's secret.
+std::string format_context(const call_context& context, std::string_view secret);
+
+// Reads a text back; nothing where the signature or the id is not right.
+std::optional<call_context> parse_context(std::string_view text, const wire::request_id& id,
+                                          std::string_view secret);
+
+} // namespace acaciasill::daemon
+
+#endif
--- a/include/acaciasill/daemon/call_metrics.h
+++ b/include/acaciasill/daemon/call_metrics.h
@@ -51,14 +51,14 @@
   std::array<std::array<class_counters, rank_count>, max_labelled_organisations + 1> classes{};
 };
 
-// All counters of a daemon. Slots name organisations and keep their meaning for the daemon's life.
+// All counters of a daemon. Organisations are addressed by their slots of the blackboard.
 class call_metrics : public prometheus::Collectable {
 public:
   explicit call_metrics(std::size_t shards);
 
-  // The slot of an organisation; the last slot, "other", once all others are taken. Controllers
-  // call it when a configuration comes into force.
-  std::size_t slot_of(const std::string& organisation);
+  // Names the organisation of a slot of the blackboard. Slots that have no labels of their own are
+  // counted together. Controllers call it when a configuration comes into force.
+  void name_slot(std::size_t slot, const std::string& organisation);
 
   // Adds one measured time.
   void observe(std::size_t shard, std::size_t slot, std::uint8_t rank, time_kind kind,
@@ -74,9 +74,11 @@
                                          std::string_view help) const;
   prometheus::MetricFamily collect_outcomes() const;
 
+  std::string label_of(std::size_t slot) const;
+
   std::vector<std::unique_ptr<metrics_shard>> shards_;
   mutable std::mutex names_mutex_;
-  std::vector<std::string> names_;
+  std::array<std::string, max_labelled_organisations> names_;
 };
 
 } // namespace acaciasill::daemon
--- /dev/null
+++ b/include/acaciasill/daemon/entry_calls.h
@@ -0,0 +1,63 @@
+#ifndef ACACIASILL_DAEMON_ENTRY_CALLS_H
+#define ACACIASILL_DAEMON_ENTRY_CALLS_H
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "acaciasill/daemon/daemon_settings.h"
+#include "acaciasill/net/http_server.h"
+
+namespace acaciasill::board {
+struct call_board;
+}
+namespace acaciasill::net {
+class peer_pool;
+}
+
+// Calls that outside callers and the local backend server make through this daemon: classification,
+// shedding at the entry, the choice of an upstream, retries, and the answer.
+namespace acaciasill::daemon {
+
+class call_metrics;
+class upstream_calls;
+struct request_thread;
+
+// What the calls of one daemon share.
+struct entry_environment {
+  board::call_board* board = nullptr;
+  std::vector<request_thread*> threads;
+  call_metrics* metrics = nullptr;
+  net::peer_pool* peers = nullptr;
+  upstream_calls* upstream = nullptr;
+  operating_mode mode = operating_mode::protect;
+  // The "ip:port" under which this daemon takes calls of others; calls to it stay in the process.
+  std::string own_call_address;
+  std::string secret;
+};
+
+// The prefix of every call's path; the service's name follows.
+inline constexpr char call_prefix[] = "/svc/";
+
+class entry_calls {
+public:
+  explicit entry_calls(entry_environment environment);
+  ~entry_calls();
+  entry_calls(const entry_calls&) = delete;
+  entry_calls& operator=(const entry_calls&) = delete;
+
+  // Takes a request below call_prefix on the thread that received it; the answer comes once.
+  void serve(request_thread& home, net::http_request request, net::http_responder respond);
+
+  // The caller's connection has closed: its calls are cancelled all the way down.
+  void connection_closed(request_thread& home, std::uint64_t connection);
+
+private:
+  struct implementation;
+  std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace acaciasill::daemon
+
+#endif
--- /dev/null
+++ b/include/acaciasill/daemon/request_thread.h
@@ -0,0 +1,38 @@
+#ifndef ACACIASILL_DAEMON_REQUEST_THREAD_H
+#define ACACIASILL_DAEMON_REQUEST_THREAD_H
+
+#include <cstddef>
+#include <memory>
+#include <thread>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+
+#include "acaciasill/daemon/trace.h"
+#include "acaciasill/net/backend_client.h"
+#include "acaciasill/support/random.h"
+
+// One thread that serves calls, with all that it does not share with the others.
+namespace acaciasill::daemon {
+
+// Records that one thread keeps for "explain".
+inline constexpr std::size_t trace_capacity = 4096;
+
+// The event loop of one thread and the objects that run on it.
+struct request_thread {
+  explicit request_thread(std::size_t thread_index, std::uint64_t seed)
+      : index(thread_index), context(1), work(asio::make_work_guard(context)), random(seed),
+        traces(trace_capacity) {}
+
+  std::size_t index;
+  asio::io_context context;
+  asio::executor_work_guard<asio::io_context::executor_type> work;
+  support::random_source random;
+  trace_ring traces;
+  std::unique_ptr<net::backend_client> backend;
+  std::thread thread;
+};
+
+} // namespace acaciasill::daemon
+
+#endif
--- /dev/null
+++ b/lib/board/call_board.cpp
@@ -0,0 +1,15 @@
+#include "acaciasill/board/call_board.h"
+
+#include <memory>
+
+namespace acaciasill::board {
+
+call_board::call_board()
+    : configuration(std::make_unique<const configuration_view>()),
+      routing(std::make_unique<const routing_view>()),
+      admission(std::make_unique<const decide::gate_view>()),
+      backend(std::make_unique<const backend_target>()), gate(organisation_capacity),
+      thresholds(subject_capacity, organisation_capacity), duplicates(duplicate_capacity),
+      parents(parent_capacity), retries(service_capacity), spills(service_capacity) {}
+
+} // namespace acaciasill::board
--- a/lib/daemon/call_metrics.cpp
+++ b/lib/daemon/call_metrics.cpp
@@ -1,7 +1,6 @@
 #include "acaciasill/daemon/call_metrics.h"
 
 #include <algorithm>
-#include <cassert>
 #include <limits>
 
 #include <prometheus/metric_family.h>
@@ -18,6 +17,11 @@
   return static_cast<std::size_t>(bound - time_bounds_us.begin());
 }
 
+class_counters& counters_of(metrics_shard& shard, std::size_t slot, std::uint8_t rank) {
+  return shard.classes[std::min(slot, max_labelled_organisations)]
+                      [std::min<std::size_t>(rank, rank_count - 1)];
+}
+
 std::vector<prometheus::ClientMetric::Label> class_labels(const std::string& organisation,
                                                           std::size_t rank) {
   return {{"organisation", organisation}, {"rank", std::to_string(rank)}};
@@ -31,26 +35,23 @@
   }
 }
 
-std::size_t call_metrics::slot_of(const std::string& organisation) {
+void call_metrics::name_slot(std::size_t slot, const std::string& organisation) {
   const std::lock_guard lock(names_mutex_);
-  const auto found = std::find(names_.begin(), names_.end(), organisation);
-  if (found != names_.end()) {
-    return static_cast<std::size_t>(found - names_.begin());
-  }
-  if (names_.size() == max_labelled_organisations) {
-    return max_labelled_organisations;
+  if (slot < names_.size()) {
+    names_[slot] = organisation;
   }
-  names_.push_back(organisation);
-  return names_.size() - 1;
+}
+
+std::string call_metrics::label_of(std::size_t slot) const {
+  return slot < names_.size() ? names_[slot] : "other";
 }
 
 void call_metrics::observe(std::size_t shard, std::size_t slot, std::uint8_t rank, time_kind kind,
                            support::duration time) {
-  assert(slot <= max_labelled_organisations && "a slot comes from slot_of");
   const auto clamped = std::max(time, support::duration::zero());
   const auto time_us = static_cast<std::uint64_t>(
       std::chrono::duration_cast<support::microseconds>(clamped).count());
-  auto& counters = shards_[shard]->classes[slot][std::min<std::size_t>(rank, rank_count - 1)];
+  auto& counters = counters_of(*shards_[shard], slot, rank);
   const auto index = static_cast<std::size_t>(kind);
   counters.buckets[index][bucket_of_time(time_us)].fetch_add(1, std::memory_order_relaxed);
   counters.sum_us[index].fetch_add(time_us, std::memory_order_relaxed);
@@ -58,7 +59,7 @@
 
 void call_metrics::count(std::size_t shard, std::size_t slot, std::uint8_t rank,
                          wire::outcome outcome) {
-  auto& counters = shards_[shard]->classes[slot][std::min<std::size_t>(rank, rank_count - 1)];
+  auto& counters = counters_of(*shards_[shard], slot, rank);
   counters.outcomes[static_cast<std::size_t>(outcome)].fetch_add(1, std::memory_order_relaxed);
 }
 
@@ -102,7 +103,7 @@
       }
       metric.histogram.sample_count = total;
       metric.histogram.sample_sum = static_cast<double>(sum_us) / us_per_second;
-      metric.label = class_labels(slot < names_.size() ? names_[slot] : "other", rank);
+      metric.label = class_labels(label_of(slot), rank);
       family.metric.push_back(std::move(metric));
     }
   }
@@ -127,7 +128,7 @@
         }
         prometheus::ClientMetric metric;
         metric.counter.value = static_cast<double>(total);
-        metric.label = class_labels(slot < names_.size() ? names_[slot] : "other", rank);
+        metric.label = class_labels(label_of(slot), rank);
         metric.label.push_back(
             {"outcome", std::string(outcome_name(static_cast<wire::outcome>(outcome)))});
         family.metric.push_back(std::move(metric));
--- /dev/null
+++ b/lib/daemon/entry_calls.cpp
@@ -0,0 +1,451 @@
+#include "acaciasill/daemon/entry_calls.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "entry_answer.h"
+#include "entry_request.h"
+
+#include "acaciasill/board/call_board.h"
+#include "acaciasill/daemon/call_metrics.h"
+#include "acaciasill/daemon/request_thread.h"
+#include "acaciasill/daemon/upstream_calls.h"
+#include "acaciasill/decide/request_path.h"
+#include "acaciasill/net/peer_pool.h"
+
+namespace acaciasill::daemon {
+namespace {
+
+using support::result_code;
+
+// Retry-after of a call that was shed at the entry, before jitter.
+constexpr std::uint32_t entry_retry_after_ms = 200;
+
+// One attempt that is under way.
+struct attempt {
+  std::shared_ptr<decide::upstream_load> load;
+  std::string address;
+  std::uint32_t lent = 0;
+  // Where the call went: to a peer, or to this daemon's own backend server.
+  std::optional<net::call_handle> remote;
+  std::optional<std::uint64_t> local;
+};
+
+// One call; only its home thread touches it.
+struct entry_call {
+  entry_call(std::uint64_t call_id, request_thread& thread) : id(call_id), home(thread) {}
+
+  std::uint64_t id;
+  request_thread& home;
+  std::uint64_t connection = 0;
+  entry_request request;
+  net::http_responder respond;
+  support::time_point arrived;
+  decide::level level = 0;
+  // Attempts that this call holds: minted at the entry, or lent by the parent.
+  decide::attempt_budget budget;
+  std::uint32_t first_budget = 0;
+  std::optional<decide::parent_ref> parent;
+  std::optional<decide::duplicate_ticket> duplicate;
+  std::vector<std::uint64_t> tried;
+  std::uint32_t attempts = 0;
+  std::uint32_t retries = 0;
+  std::uint32_t spent = 0;
+  std::uint32_t subset_size = 0;
+  attempt current;
+  std::optional<asio::steady_timer> retry_timer;
+  bool ended = false;
+};
+
+using call_ptr = std::shared_ptr<entry_call>;
+
+struct thread_calls {
+  std::unordered_map<std::uint64_t, call_ptr> calls;
+  std::unordered_multimap<std::uint64_t, std::uint64_t> by_connection;
+  std::uint64_t last_id = 0;
+};
+
+// Whether a reply shows that its upstream itself is unhealthy.
+bool upstream_failed(const wire::call_reply& reply) {
+  switch (reply.code) {
+  case result_code::backend_unreachable:
+  case result_code::backend_failed:
+  case result_code::outcome_unknown:
+  case result_code::peer_unreachable:
+  case result_code::peer_lost:
+  case result_code::peer_stalled:
+  case result_code::peer_mismatch:
+  case result_code::no_upstream:
+    return !reply.overloaded_below;
+  default:
+    return false;
+  }
+}
+
+// Whether the link made the reply because none came back.
+bool reply_was_lost(const wire::call_reply& reply) {
+  return reply.code == result_code::peer_lost || reply.code == result_code::peer_stalled ||
+         reply.code == result_code::peer_mismatch ||
+         (reply.outcome == wire::outcome::unknown && reply.limit == 0 &&
+          (reply.code == result_code::deadline_exceeded || reply.code == result_code::cancelled));
+}
+
+} // namespace
+
+struct entry_calls::implementation {
+  explicit implementation(entry_environment environment)
+      : environment_(std::move(environment)), board_(*environment_.board),
+        threads_(environment_.threads.size()) {}
+
+  bool protects() const { return environment_.mode == operating_mode::protect; }
+
+  void serve(request_thread& home, net::http_request request, net::http_responder respond) {
+    const auto now = support::monotonic_now();
+    const auto headers = net::parse_call_headers(request.headers);
+    if (!headers.ok()) {
+      respond(make_error_answer(headers.status()));
+      return;
+    }
+    const auto connection = request.connection;
+    auto& mine = threads_[home.index];
+    auto call = std::make_shared<entry_call>(++mine.last_id, home);
+    if (const auto status = understand(*call, std::move(request), *headers, now); !status.ok()) {
+      respond(make_error_answer(status));
+      return;
+    }
+    call->connection = connection;
+    call->respond = std::move(respond);
+    call->arrived = now;
+    mine.calls.emplace(call->id, call);
+    mine.by_connection.emplace(connection, call->id);
+    board_.calls_in_flight.fetch_add(1, std::memory_order_relaxed);
+    begin(call, now);
+  }
+
+  absl::Status understand(entry_call& call, net::http_request request,
+                          const net::call_headers& headers, support::time_point now) {
+    const board::rcu_read_guard guard;
+    auto understood =
+        read_entry_request(board_.configuration.read(guard), std::move(request), headers,
+                           environment_.secret, now, call.home.random);
+    if (!understood.ok()) {
+      return understood.status();
+    }
+    call.request = *std::move(understood);
+    return absl::OkStatus();
+  }
+
+  void begin(const call_ptr& call, support::time_point now) {
+    auto& request = call->request;
+    const decide::request_id id{request.call.id.high, request.call.id.low};
+    if (request.from_backend) {
+      call->parent = decide::find_parent(board_.parents, id);
+    }
+    request.call.holds_finished_work =
+        call->parent &&
+        board_.parents.cells[call->parent->cell].holds_finished_work.load(std::memory_order_relaxed);
+    call->level = decide::make_level(request.call.rank, request.call.holds_finished_work, id);
+    call->first_budget = call->parent ? decide::borrow_from_parent(board_.parents, *call->parent)
+                         : request.from_backend ? 0
+                                                : request.minted_attempts;
+    decide::reset_budget(call->budget, call->first_budget);
+    if (protects() && !request.from_backend && !admit_at_entry(*call, now)) {
+      return;
+    }
+    decide::earn_retry(board_.retries[request.service_slot], request.retry_ratio, now);
+    send(call, now);
+  }
+
+  // Collapses repeated calls and sheds what a deeper hop would shed; false where it answered.
+  bool admit_at_entry(entry_call& call, support::time_point now) {
+    const auto& request = call.request;
+    const auto ticket = decide::begin_call(
+        board_.duplicates, decide::fingerprint({request.call.id.high, request.call.id.low},
+                                               request.call.service, request.call.method,
+                                               request.call.target, request.call.idempotency_key));
+    if (ticket.check == decide::duplicate_check::duplicate) {
+      finish(call, refusal_reply(result_code::duplicate_in_progress, jittered(call)));
+      return false;
+    }
+    if (ticket.check == decide::duplicate_check::first) {
+      call.duplicate = ticket;
+    }
+    if (decide::shed_at_entry(board_.thresholds, request.threshold_subject,
+                              request.organisation_slot, call.level, now)) {
+      finish(call, refusal_reply(result_code::shed_at_entry, jittered(call)));
+      return false;
+    }
+    return true;
+  }
+
+  static std::uint32_t jittered(entry_call& call) {
+    return static_cast<std::uint32_t>(entry_retry_after_ms *
+                                      (0.5 + support::uniform_unit(call.home.random)));
+  }
+
+  // Starts the next attempt.
+  void send(const call_ptr& call, support::time_point now) {
+    if (!choose(*call, now)) {
+      finish(*call, refusal_reply(result_code::no_upstream, jittered(*call)));
+      return;
+    }
+    auto request = call->request.call;
+    ++call->attempts;
+    call->current.lent = protects() ? decide::lend_attempts(call->budget) : 0;
+    request.lent_attempts = call->current.lent;
+    decide::begin_attempt(*call->current.load);
+    if (call->current.address == environment_.own_call_address) {
+      send_to_self(call, std::move(request), now);
+      return;
+    }
+    const auto peer = net::parse_peer_address(call->current.address);
+    if (!peer.ok()) {
+      on_reply(call, refusal_reply(result_code::peer_unreachable));
+      return;
+    }
+    call->current.remote = environment_.peers->send_call(
+        *peer, std::move(request), call->request.deadline,
+        [this, call](wire::call_reply reply) { on_reply(call, std::move(reply)); });
+  }
+
+  void send_to_self(const call_ptr& call, wire::call_request request, support::time_point now) {
+    request.time_left_us = static_cast<std::uint64_t>(
+        std::max<std::int64_t>(0, std::chrono::duration_cast<support::microseconds>(
+                                      call->request.deadline - now)
+                                      .count()));
+    // The reply may come before serve returns, and then there is nothing to cancel any more.
+    const auto sequence = call->attempts;
+    const auto local = environment_.upstream->serve(
+        call->home, std::move(request),
+        [this, call](wire::call_reply reply) { on_reply(call, std::move(reply)); });
+    if (!call->ended && call->attempts == sequence) {
+      call->current.local = local;
+    }
+  }
+
+  bool choose(entry_call& call, support::time_point now) {
+    const board::rcu_read_guard guard;
+    const auto& view = board_.routing.read(guard);
+    const auto slot = call.request.service_slot;
+    if (slot >= view.services.size()) {
+      return false;
+    }
+    const auto& routes = view.services[slot];
+    call.subset_size = static_cast<std::uint32_t>(routes.route.upstreams.size());
+    const auto chosen = protects()
+                            ? decide::choose_upstream(routes.route, board_.spills[slot], call.tried,
+                                                      now, call.home.random)
+                            : choose_any(routes.route, call.home.random);
+    if (!chosen) {
+      return false;
+    }
+    const auto& upstream = routes.route.upstreams[*chosen];
+    call.current = {};
+    call.current.load = upstream.load;
+    call.current.address = routes.call_addresses[*chosen];
+    call.tried.push_back(upstream.id);
+    return true;
+  }
+
+  // The baseline's choice: any local upstream, or any at all where there is no local one.
+  static std::optional<std::uint32_t> choose_any(const decide::route_view& route,
+                                                 support::random_source& random) {
+    const auto count = route.local_count != 0 ? route.local_count : route.upstreams.size();
+    if (count == 0) {
+      return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(support::uniform_below(random, count));
+  }
+
+  void on_reply(const call_ptr& call, wire::call_reply reply) {
+    if (call->ended) {
+      decide::end_attempt(*call->current.load);
+      return;
+    }
+    const auto now = support::monotonic_now();
+    take_reply(*call, reply, now);
+    call->spent += reply.spent_attempts;
+    const bool answered = reply.outcome == wire::outcome::completed;
+    if (answered || !protects() || !retry(call, reply, now)) {
+      finish(*call, std::move(reply));
+    }
+  }
+
+  void take_reply(entry_call& call, const wire::call_reply& reply, support::time_point now) {
+    if (reply_was_lost(reply)) {
+      decide::on_reply(*call.current.load, decide::lost_reply{}, now);
+      return;
+    }
+    decide::reply_facts facts;
+    facts.organisation = call.request.organisation_slot;
+    facts.threshold = reply.limit != 0 ? reply.threshold : decide::accept_all;
+    facts.lent_attempts = call.current.lent;
+    // A call of which no byte was sent has spent nothing.
+    facts.unused_attempts =
+        reply.limit == 0 && reply.outcome == wire::outcome::not_run ? call.current.lent
+                                                                    : reply.unused_attempts;
+    facts.load = {reply.in_flight, reply.queued, reply.limit, reply.service_time_us};
+    facts.upstream_failed = upstream_failed(reply);
+    const std::array<std::uint32_t, 1> subjects{call.request.threshold_subject};
+    const std::span<const std::uint32_t> learned =
+        reply.limit != 0 ? std::span<const std::uint32_t>(subjects)
+                         : std::span<const std::uint32_t>();
+    decide::on_reply(*call.current.load, board_.thresholds, learned, call.budget, facts, now);
+  }
+
+  // Starts a retry where the rules allow one; false where the reply is final.
+  bool retry(const call_ptr& call, const wire::call_reply& reply, support::time_point now) {
+    decide::failed_attempt failed;
+    failed.not_run = reply.outcome == wire::outcome::not_run;
+    failed.code = reply.code;
+    // A server that calls others may have failed because one of them did; the retry was theirs.
+    failed.next_to_failure =
+        reply.outcome != wire::outcome::failed || !call->request.destination_calls_others;
+    failed.overloaded_below = reply.overloaded_below;
+    failed.idempotent = call->request.call.idempotent;
+    failed.tried = static_cast<std::uint32_t>(call->tried.size());
+    failed.subset_size = call->subset_size;
+    failed.retries = call->retries;
+    failed.deadline = call->request.deadline;
+    failed.expected_service_time = support::microseconds(reply.service_time_us);
+    const auto decision =
+        decide::may_retry(call->budget, board_.retries[call->request.service_slot], failed, now,
+                          call->home.random);
+    if (!decision.retry) {
+      return false;
+    }
+    if (decision.uses_budget) {
+      ++call->retries;
+      ++call->spent;
+    }
+    if (decision.delay == support::duration::zero()) {
+      send(call, now);
+      return true;
+    }
+    call->retry_timer.emplace(call->home.context);
+    call->retry_timer->expires_after(decision.delay);
+    call->retry_timer->async_wait([this, call](asio::error_code error) {
+      if (!error && !call->ended) {
+        send(call, support::monotonic_now());
+      }
+    });
+    return true;
+  }
+
+  void finish(entry_call& call, wire::call_reply reply) {
+    call.ended = true;
+    if (call.parent) {
+      decide::parent_summary summary;
+      summary.unused_attempts = decide::take_attempts(call.budget, call.first_budget);
+      summary.spent_attempts = call.spent;
+      summary.threshold = reply.threshold;
+      summary.overloaded_below = reply.overloaded_below || is_overload(reply.code);
+      decide::return_to_parent(board_.parents, *call.parent, call.first_budget, summary,
+                               reply.outcome == wire::outcome::completed);
+    }
+    if (call.duplicate) {
+      decide::end_call(board_.duplicates, *call.duplicate);
+    }
+    const auto now = support::monotonic_now();
+    environment_.metrics->observe(call.home.index, call.request.organisation_slot,
+                                  call.request.call.rank, time_kind::call, now - call.arrived);
+    environment_.metrics->count(call.home.index, call.request.organisation_slot,
+                                call.request.call.rank, reply.outcome);
+    record(call, reply, now);
+    const auto respond = std::move(call.respond);
+    const auto id = call.request.call.id;
+    forget(call);
+    board_.calls_in_flight.fetch_sub(1, std::memory_order_release);
+    respond(make_answer(id, std::move(reply)));
+  }
+
+  // Takes the call out of the tables; the call may be destroyed once its callbacks are.
+  void forget(const entry_call& call) {
+    auto& mine = threads_[call.home.index];
+    const auto [first, last] = mine.by_connection.equal_range(call.connection);
+    for (auto entry = first; entry != last; ++entry) {
+      if (entry->second == call.id) {
+        mine.by_connection.erase(entry);
+        break;
+      }
+    }
+    mine.calls.erase(call.id);
+  }
+
+  void record(entry_call& call, const wire::call_reply& reply, support::time_point now) {
+    if (reply.outcome == wire::outcome::completed && !is_sampled(call.request.call.id)) {
+      return;
+    }
+    trace_record record;
+    record.id = call.request.call.id;
+    record.service = call.request.call.service;
+    record.organisation = call.request.call.organisation;
+    record.rank = call.request.call.rank;
+    record.depth = call.request.call.depth;
+    record.level = call.level;
+    record.threshold =
+        decide::entry_threshold(board_.thresholds, call.request.threshold_subject,
+                                call.request.organisation_slot, now);
+    record.attempts = call.attempts;
+    record.total_us = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<support::microseconds>(now - call.arrived).count());
+    record.outcome = reply.outcome;
+    record.code = reply.code;
+    record.upstream = call.current.address;
+    call.home.traces.add(std::move(record));
+  }
+
+  void connection_closed(request_thread& home, std::uint64_t connection) {
+    auto& mine = threads_[home.index];
+    std::vector<call_ptr> gone;
+    const auto [first, last] = mine.by_connection.equal_range(connection);
+    for (auto entry = first; entry != last; ++entry) {
+      if (const auto found = mine.calls.find(entry->second); found != mine.calls.end()) {
+        gone.push_back(found->second);
+      }
+    }
+    for (const auto& call : gone) {
+      cancel(*call);
+    }
+  }
+
+  void cancel(entry_call& call) {
+    if (call.retry_timer) {
+      call.retry_timer->cancel();
+    }
+    const auto current = call.current;
+    finish(call, refusal_reply(result_code::cancelled));
+    if (current.remote) {
+      net::peer_pool::cancel(*current.remote);
+    }
+    if (current.local) {
+      environment_.upstream->cancel(call.home, *current.local);
+    }
+  }
+
+  entry_environment environment_;
+  board::call_board& board_;
+  std::vector<thread_calls> threads_;
+};
+
+entry_calls::entry_calls(entry_environment environment)
+    : implementation_(std::make_unique<implementation>(std::move(environment))) {}
+
+entry_calls::~entry_calls() = default;
+
+void entry_calls::serve(request_thread& home, net::http_request request,
+                        net::http_responder respond) {
+  implementation_->serve(home, std::move(request), std::move(respond));
+}
+
+void entry_calls::connection_closed(request_thread& home, std::uint64_t connection) {
+  implementation_->connection_closed(home, connection);
+}
+
+} // namespace acaciasill::daemon
--- /dev/null
+++ b/lib/daemon/entry_request.cpp
@@ -0,0 +1,157 @@
+#include "entry_request.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "acaciasill/board/call_board.h"
+#include "acaciasill/daemon/call_context.h"
+#include "acaciasill/daemon/entry_calls.h"
+#include "acaciasill/support/result_code.h"
+
+namespace acaciasill::daemon {
+namespace {
+
+using support::make_error;
+using support::result_code;
+
+constexpr std::uint8_t max_depth = 32;
+
+// The two parts of a call's path.
+struct call_target {
+  std::string_view service;
+  // Path and query below the service, with the leading slash.
+  std::string_view rest;
+};
+
+std::optional<call_target> split_target(std::string_view target) {
+  constexpr std::string_view prefix = call_prefix;
+  if (target.substr(0, prefix.size()) != prefix) {
+    return std::nullopt;
+  }
+  const auto path = target.substr(prefix.size());
+  const auto end = path.find_first_of("/?");
+  const auto service = path.substr(0, end);
+  if (service.empty()) {
+    return std::nullopt;
+  }
+  return call_target{service, end == std::string_view::npos ? std::string_view{} : path.substr(end)};
+}
+
+wire::request_id mint_id(support::random_source& random) { return {random(), random() | 1U}; }
+
+// What an outside caller is given, by the policy for outside callers.
+absl::Status apply_outside_policy(const model::snapshot& snapshot, const net::call_headers& headers,
+                                  const model::limits& limits, entry_request& result) {
+  const auto* compiled = snapshot.find_caller_policy(model::outside_policy_name);
+  const model::caller_policy policy = compiled != nullptr ? compiled->policy : model::caller_policy{};
+  auto& call = result.call;
+  call.organisation = policy.may_set_organisation && !headers.organisation.empty()
+                          ? headers.organisation
+                          : policy.default_organisation;
+  if (call.organisation.empty()) {
+    return make_error(result_code::unknown_organisation, "the call names no organisation");
+  }
+  if (!headers.priority.empty()) {
+    const auto rank = snapshot.find_rank(headers.priority);
+    if (!rank) {
+      return make_error(result_code::bad_request, "unknown priority " + headers.priority);
+    }
+    // A caller may always make its call less important.
+    call.rank = policy.may_set_priority ? *rank : std::max(call.rank, *rank);
+  }
+  result.minted_attempts = limits.spare_attempts;
+  if (headers.retry_budget) {
+    result.minted_attempts = policy.may_set_retry_budget
+                                 ? *headers.retry_budget
+                                 : std::min(*headers.retry_budget, limits.spare_attempts);
+  }
+  return absl::OkStatus();
+}
+
+void inherit(const call_context& context, entry_request& result) {
+  result.from_backend = true;
+  result.call.organisation = context.organisation;
+  result.call.rank = context.rank;
+  result.call.depth = static_cast<std::uint8_t>(context.depth + 1);
+  result.deadline = std::min(result.deadline, context.deadline);
+}
+
+void take_passed_headers(std::vector<wire::header_field> fields, wire::call_request& call) {
+  for (auto& field : fields) {
+    if (!net::is_call_header(field.name) && !net::is_connection_header(field.name)) {
+      call.headers.push_back(std::move(field));
+    }
+  }
+}
+
+void find_slots(const board::configuration_view& view, model::service_index service,
+                const model::route_facts& facts, model::organisation_index organisation,
+                entry_request& result) {
+  result.organisation_slot = view.organisation_slots[organisation];
+  result.service_slot = view.service_slots[service];
+  result.threshold_subject =
+      facts.route ? board::service_capacity + view.route_slots[*facts.route] : result.service_slot;
+}
+
+} // namespace
+
+absl::StatusOr<entry_request> read_entry_request(const board::configuration_view& view,
+                                                 net::http_request request,
+                                                 const net::call_headers& headers,
+                                                 std::string_view secret, support::time_point now,
+                                                 support::random_source& random) {
+  if (!view.ready) {
+    return make_error(result_code::not_ready);
+  }
+  const auto target = split_target(request.target);
+  if (!target) {
+    return make_error(result_code::no_route);
+  }
+  const auto service = view.snapshot.find_service(target->service);
+  if (!service) {
+    return make_error(result_code::unknown_service, target->service);
+  }
+  const auto& compiled = view.snapshot.service(*service);
+
+  entry_request result;
+  auto& call = result.call;
+  call.id = headers.id ? *headers.id : mint_id(random);
+  call.service = compiled.name;
+  call.method = request.method;
+  call.target = target->rest.empty() || target->rest.front() != '/' ? "/" : "";
+  call.target += target->rest;
+  call.idempotency_key = headers.idempotency_key;
+  const auto facts = view.snapshot.classify(*service, call.method, call.target);
+  call.rank = facts.rank;
+  call.idempotent = facts.idempotent;
+  if (facts.claim_key && !facts.idempotent && call.idempotency_key.empty()) {
+    return make_error(result_code::bad_request, "this route needs an idempotency-key");
+  }
+  result.deadline = now + headers.deadline.value_or(compiled.limits.default_deadline);
+  result.destination_calls_others = !compiled.calls.empty();
+  result.retry_ratio = compiled.limits.retry_ratio;
+
+  if (const auto context = parse_context(headers.context, call.id, secret)) {
+    inherit(*context, result);
+  } else if (const auto status =
+                 apply_outside_policy(view.snapshot, headers, compiled.limits, result);
+             !status.ok()) {
+    return status;
+  }
+  if (call.depth > max_depth) {
+    return make_error(result_code::bad_request, "the chain of calls is too deep");
+  }
+  if (result.deadline <= now) {
+    return make_error(result_code::deadline_exceeded);
+  }
+  const auto organisation = view.snapshot.find_organisation(call.organisation);
+  if (!organisation) {
+    return make_error(result_code::unknown_organisation, call.organisation);
+  }
+  find_slots(view, *service, facts, *organisation, result);
+  take_passed_headers(std::move(request.headers), call);
+  call.body = std::move(request.body);
+  return result;
+}
+
+} // namespace acaciasill::daemon
--- /dev/null
+++ b/lib/daemon/upstream_calls.cpp
@@ -0,0 +1,377 @@
+#include "acaciasill/daemon/upstream_calls.h"
+
+#include <algorithm>
+#include <cassert>
+#include <unordered_map>
+#include <utility>
+
+#include <asio/post.hpp>
+
+#include "upstream_exchange.h"
+#include "upstream_queue.h"
+
+#include "acaciasill/board/call_board.h"
+#include "acaciasill/daemon/call_metrics.h"
+#include "acaciasill/daemon/key_claims.h"
+#include "acaciasill/daemon/request_thread.h"
+
+namespace acaciasill::daemon {
+namespace {
+
+using support::result_code;
+
+// Where a call stands on its way through the upstream's daemon.
+enum class call_stage : std::uint8_t { waiting, claiming, running, ended };
+
+// One call; only its home thread touches it.
+struct running_call {
+  std::uint64_t id = 0;
+  wire::call_request request;
+  upstream_reply reply;
+  decide::request_facts facts;
+  support::time_point arrived;
+  support::time_point started;
+  call_stage stage = call_stage::waiting;
+  bool claimed = false;
+  std::uint64_t exchange = 0;
+  std::optional<decide::parent_ref> parent;
+};
+
+using call_table = std::unordered_map<std::uint64_t, std::shared_ptr<running_call>>;
+
+claim_question question_of(const running_call& call) {
+  return {call.request.organisation, call.request.service, call.request.idempotency_key,
+          call.request.id, call.facts.deadline};
+}
+
+} // namespace
+
+struct upstream_calls::implementation {
+  explicit implementation(upstream_environment environment)
+      : environment_(std::move(environment)), board_(*environment_.board),
+        calls_(environment_.threads.size()),
+        queue_(*environment_.board, *environment_.threads.front(),
+               {[this](queue_handle handle) { run_queued(handle); },
+                [this](queue_handle handle, result_code code) { drop_queued(handle, code); }}) {}
+
+  bool protects() const { return environment_.mode == operating_mode::protect; }
+
+  std::uint64_t serve(request_thread& home, wire::call_request request, upstream_reply reply) {
+    auto call = std::make_shared<running_call>();
+    call->id = ++last_id_[home.index % max_request_threads];
+    call->arrived = support::monotonic_now();
+    call->facts = facts_of(request, call->arrived);
+    call->request = std::move(request);
+    call->reply = std::move(reply);
+    board_.calls_in_flight.fetch_add(1, std::memory_order_relaxed);
+    calls_[home.index].emplace(call->id, call);
+    admit(home, *call);
+    return call->id;
+  }
+
+  decide::request_facts facts_of(const wire::call_request& request, support::time_point now) {
+    decide::request_facts facts;
+    facts.id = {request.id.high, request.id.low};
+    facts.level = decide::make_level(request.rank, request.holds_finished_work, facts.id);
+    facts.deadline = now + support::microseconds(request.time_left_us);
+    facts.holds_finished_work = request.holds_finished_work;
+    const board::rcu_read_guard guard;
+    const auto& view = board_.configuration.read(guard);
+    const auto organisation = view.snapshot.find_organisation(request.organisation);
+    // An organisation that this daemon does not know yet shares the last slot.
+    facts.organisation =
+        organisation ? view.organisation_slots[*organisation] : board::organisation_capacity - 1;
+    return facts;
+  }
+
+  bool serves(const wire::call_request& request) {
+    const board::rcu_read_guard guard;
+    const auto& target = board_.backend.read(guard);
+    return target.present && target.service == request.service;
+  }
+
+  void admit(request_thread& home, running_call& call) {
+    if (!serves(call.request)) {
+      refuse(home, call, result_code::no_upstream, 0);
+      return;
+    }
+    if (!protects()) {
+      if (board_.leaving.load(std::memory_order_acquire)) {
+        refuse(home, call, result_code::draining, 0);
+        return;
+      }
+      start(home, call);
+      return;
+    }
+    const auto decision = admission_of(home, call);
+    switch (decision.action) {
+    case decide::admission::run:
+      start(home, call);
+      return;
+    case decide::admission::wait:
+      queue_.add({home.index, call.id}, call.facts);
+      return;
+    case decide::admission::refuse:
+      refuse(home, call, decision.code, decision.retry_after_ms);
+      return;
+    }
+  }
+
+  decide::admit_decision admission_of(request_thread& home, const running_call& call) {
+    const board::rcu_read_guard guard;
+    return decide::admit(board_.gate, board_.admission.read(guard), call.facts, call.arrived,
+                         home.random);
+  }
+
+  // A queued call has got a slot. Runs on the queue's thread.
+  void run_queued(queue_handle handle) {
+    auto& home = *environment_.threads[handle.thread];
+    asio::post(home.context, [this, &home, handle] {
+      const auto found = calls_[home.index].find(handle.call);
+      if (found == calls_[home.index].end()) {
+        // The caller went away while the slot was on its way; the queue knows the organisation.
+        queue_.release_abandoned(handle);
+        return;
+      }
+      queue_.settled(handle);
+      start(home, *found->second);
+    });
+  }
+
+  // A queued call has been given up. Runs on the queue's thread.
+  void drop_queued(queue_handle handle, result_code code) {
+    auto& home = *environment_.threads[handle.thread];
+    asio::post(home.context, [this, &home, handle, code] {
+      const auto found = calls_[home.index].find(handle.call);
+      if (found == calls_[home.index].end()) {
+        return;
+      }
+      auto& call = *found->second;
+      const board::rcu_read_guard guard;
+      const auto decision =
+          decide::refuse(board_.gate, board_.admission.read(guard), call.facts, code, home.random);
+      refuse(home, call, decision.code, decision.retry_after_ms);
+    });
+  }
+
+  // The call holds a slot; it runs now unless its time is over or its key is taken.
+  void start(request_thread& home, running_call& call) {
+    if (support::monotonic_now() >= call.facts.deadline) {
+      give_slot_back(call);
+      refuse(home, call, result_code::deadline_exceeded, 0);
+      return;
+    }
+    const bool needs_claim = !call.request.idempotent && !call.request.idempotency_key.empty() &&
+                             environment_.claims != nullptr;
+    if (!needs_claim) {
+      run(home, call);
+      return;
+    }
+    call.stage = call_stage::claiming;
+    environment_.claims->claim(
+        question_of(call), [this, &home, id = call.id](claim_verdict verdict) {
+          asio::post(home.context, [this, &home, id, verdict] { on_claim(home, id, verdict); });
+        });
+  }
+
+  void on_claim(request_thread& home, std::uint64_t id, const claim_verdict& verdict) {
+    const auto found = calls_[home.index].find(id);
+    if (found == calls_[home.index].end()) {
+      return;
+    }
+    auto& call = *found->second;
+    if (!verdict.may_run) {
+      give_slot_back(call);
+      refuse(home, call, verdict.code, 0);
+      return;
+    }
+    call.claimed = true;
+    // A permission alone is not enough: the process may have been paused since it was given.
+    const auto now = support::monotonic_now();
+    if (now >= verdict.valid_until || now >= call.facts.deadline) {
+      give_slot_back(call);
+      environment_.claims->settle({question_of(call), wire::outcome::not_run});
+      refuse(home, call, result_code::deadline_exceeded, 0);
+      return;
+    }
+    run(home, call);
+  }
+
+  void run(request_thread& home, running_call& call) {
+    call.stage = call_stage::running;
+    call.started = support::monotonic_now();
+    environment_.metrics->observe(home.index, call.facts.organisation, call.request.rank,
+                                  time_kind::queueing, call.started - call.arrived);
+    call.parent = decide::open_parent(board_.parents, call.facts.id, call.request.lent_attempts,
+                                      call.request.holds_finished_work);
+    auto request = make_backend_request(board_, call.request, call.facts.deadline, call.started,
+                                        environment_.secret);
+    call.exchange = home.backend->send(std::move(request),
+                                       [this, &home, id = call.id](net::backend_response response) {
+                                         on_response(home, id, std::move(response));
+                                       });
+  }
+
+  void on_response(request_thread& home, std::uint64_t id, net::backend_response response) {
+    const auto found = calls_[home.index].find(id);
+    assert(found != calls_[home.index].end() && "a running call stays until its exchange ends");
+    auto& call = *found->second;
+    auto reply = interpret_response(std::move(response), call.request.idempotent);
+    if (call.parent) {
+      const auto summary =
+          decide::close_parent(board_.parents, *call.parent, call.request.lent_attempts);
+      reply.unused_attempts = summary.unused_attempts;
+      reply.spent_attempts = summary.spent_attempts;
+      reply.threshold = summary.threshold;
+      reply.overloaded_below = summary.overloaded_below;
+    }
+    release_after(call, reply);
+    if (call.claimed) {
+      environment_.claims->settle({question_of(call), reply.outcome});
+    }
+    finish(home, call, std::move(reply));
+  }
+
+  void release_after(const running_call& call, const wire::call_reply& reply) {
+    if (reply.code == result_code::backend_shed) {
+      board_.backend_sheds.fetch_add(1, std::memory_order_relaxed);
+    }
+    if (!protects()) {
+      return;
+    }
+    if (reply.outcome == wire::outcome::completed || reply.outcome == wire::outcome::failed) {
+      decide::on_finish(board_.gate, call.facts.organisation,
+                        support::monotonic_now() - call.started);
+    } else {
+      decide::on_cancel(board_.gate, call.facts.organisation);
+    }
+    queue_.slot_came_free(call.facts.organisation);
+  }
+
+  void give_slot_back(const running_call& call) {
+    if (protects()) {
+      decide::on_cancel(board_.gate, call.facts.organisation);
+      queue_.slot_came_free(call.facts.organisation);
+    }
+  }
+
+  // Answers a call that has not run.
+  void refuse(request_thread& home, running_call& call, result_code code,
+              std::uint32_t retry_after_ms) {
+    wire::call_reply reply;
+    reply.outcome = wire::outcome::not_run;
+    reply.code = code;
+    reply.http_status = support::describe(code).http_status;
+    reply.unused_attempts = call.request.lent_attempts;
+    reply.threshold = decide::accept_all;
+    reply.retry_after_ms = retry_after_ms;
+    finish(home, call, std::move(reply));
+  }
+
+  void finish(request_thread& home, running_call& call, wire::call_reply reply) {
+    reply.id = call.request.id;
+    add_load(reply, call);
+    call.stage = call_stage::ended;
+    record(home, call, reply);
+    const auto respond = std::move(call.reply);
+    calls_[home.index].erase(call.id);
+    board_.calls_in_flight.fetch_sub(1, std::memory_order_release);
+    respond(std::move(reply));
+  }
+
+  void add_load(wire::call_reply& reply, const running_call& call) {
+    if (!protects()) {
+      reply.threshold = decide::accept_all;
+      return;
+    }
+    reply.threshold = std::min(reply.threshold, decide::reply_threshold(board_.gate, call.facts));
+    reply.in_flight = board_.gate.in_flight.load(std::memory_order_relaxed);
+    reply.queued = board_.gate.waiting.load(std::memory_order_relaxed);
+    reply.limit = board_.gate.limit.load(std::memory_order_relaxed);
+    reply.service_time_us = board_.gate.service_time_us.load(std::memory_order_relaxed);
+  }
+
+  void record(request_thread& home, const running_call& call, const wire::call_reply& reply) {
+    if (reply.outcome == wire::outcome::completed && !is_sampled(call.request.id)) {
+      return;
+    }
+    const auto now = support::monotonic_now();
+    const bool started = call.started != support::time_point{};
+    trace_record record;
+    record.id = call.request.id;
+    record.role = trace_role::upstream;
+    record.service = call.request.service;
+    record.organisation = call.request.organisation;
+    record.rank = call.request.rank;
+    record.depth = call.request.depth;
+    record.level = call.facts.level;
+    record.threshold = reply.threshold;
+    record.queue_us = microseconds_between(call.arrived, started ? call.started : now);
+    record.total_us = microseconds_between(call.arrived, now);
+    record.outcome = reply.outcome;
+    record.code = reply.code;
+    home.traces.add(std::move(record));
+  }
+
+  static std::uint64_t microseconds_between(support::time_point from, support::time_point to) {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<support::microseconds>(to - from).count());
+  }
+
+  void cancel(request_thread& home, std::uint64_t id) {
+    const auto found = calls_[home.index].find(id);
+    if (found == calls_[home.index].end()) {
+      return;
+    }
+    auto& call = *found->second;
+    switch (call.stage) {
+    case call_stage::waiting:
+      queue_.remove({home.index, id});
+      refuse(home, call, result_code::cancelled, 0);
+      return;
+    case call_stage::claiming:
+      // The claim's answer is still to come; the call ends then, since its deadline is over.
+      call.facts.deadline = support::monotonic_now();
+      return;
+    case call_stage::running:
+      home.backend->cancel(call.exchange);
+      return;
+    case call_stage::ended:
+      return;
+    }
+  }
+
+  static constexpr std::size_t max_request_threads = 64;
+
+  upstream_environment environment_;
+  board::call_board& board_;
+  std::vector<call_table> calls_;
+  std::uint64_t last_id_[max_request_threads] = {};
+  upstream_queue queue_;
+};
+
+upstream_calls::upstream_calls(upstream_environment environment)
+    : implementation_(std::make_unique<implementation>(std::move(environment))) {}
+
+upstream_calls::~upstream_calls() = default;
+
+void upstream_calls::start() {
+  if (implementation_->protects()) {
+    implementation_->queue_.start();
+  }
+}
+
+std::uint64_t upstream_calls::serve(request_thread& home, wire::call_request request,
+                                    upstream_reply reply) {
+  return implementation_->serve(home, std::move(request), std::move(reply));
+}
+
+void upstream_calls::cancel(request_thread& home, std::uint64_t call) {
+  implementation_->cancel(home, call);
+}
+
+void upstream_calls::backend_announced(bool cold) {
+  implementation_->queue_.backend_announced(cold);
+}
+
+} // namespace acaciasill::daemon
--- /dev/null
+++ b/lib/daemon/upstream_exchange.h
@@ -0,0 +1,28 @@
+#ifndef ACACIASILL_LIB_DAEMON_UPSTREAM_EXCHANGE_H
+#define ACACIASILL_LIB_DAEMON_UPSTREAM_EXCHANGE_H
+
+#include <string_view>
+
+#include "acaciasill/net/backend_client.h"
+#include "acaciasill/support/time.h"
+#include "acaciasill/wire/call.h"
+
+namespace acaciasill::board {
+struct call_board;
+}
+
+// What goes to the local backend server and what its response means.
+namespace acaciasill::daemon {
+
+// The HTTP exchange for a call, with the headers that the server passes on to its own calls.
+net::backend_request make_backend_request(board::call_board& board,
+                                          const wire::call_request& request,
+                                          support::time_point deadline, support::time_point now,
+                                          std::string_view secret);
+
+// The reply that tells truly what became of the call.
+wire::call_reply interpret_response(net::backend_response response, bool idempotent);
+
+} // namespace acaciasill::daemon
+
+#endif
--- a/lib/net/backend_client.cpp
+++ b/lib/net/backend_client.cpp
@@ -6,6 +6,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include <strings.h>
+
 #include <asio.hpp>
 #include <curl/curl.h>
 
@@ -75,14 +77,28 @@
   return line.size();
 }
 
+void append_line(header_list& list, const std::string& line) {
+  curl_slist* longer = curl_slist_append(list.get(), line.c_str());
+  assert(longer != nullptr && "out of memory");
+  static_cast<void>(list.release());
+  list.reset(longer);
+}
+
+bool is_content_type(const std::string& name) {
+  return strcasecmp(name.c_str(), "content-type") == 0;
+}
+
 header_list make_header_list(const std::vector<wire::header_field>& fields) {
   header_list list;
+  bool has_content_type = false;
   for (const auto& [name, value] : fields) {
-    const std::string line = value.empty() ? name + ";" : name + ": " + value;
-    curl_slist* longer = curl_slist_append(list.get(), line.c_str());
-    assert(longer != nullptr && "out of memory");
-    static_cast<void>(list.release());
-    list.reset(longer);
+    has_content_type = has_content_type || is_content_type(name);
+    append_line(list, value.empty() ? name + ";" : name + ": " + value);
+  }
+  // A field name with nothing behind it keeps libcurl from adding a field of its own.
+  append_line(list, "Expect:");
+  if (!has_content_type) {
+    append_line(list, "Content-Type:");
   }
   return list;
 }
