--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -131,9 +131,8 @@
   absl::Status understand(entry_call& call, net::http_request request,
                           const net::call_headers& headers, support::time_point now) {
     const board::rcu_read_guard guard;
-    auto understood =
-        read_entry_request(board_.configuration.read(guard), std::move(request), headers,
-                           environment_.secret, now, call.home.random);
+    auto understood = read_entry_request(board_.configuration.read(guard), std::move(request),
+                                         headers, environment_.secret, now, call.home.random);
     if (!understood.ok()) {
       return understood.status();
     }
@@ -148,8 +147,8 @@
       call->parent = decide::find_parent(board_.parents, id);
     }
     request.call.holds_finished_work =
-        call->parent &&
-        board_.parents.cells[call->parent->cell].holds_finished_work.load(std::memory_order_relaxed);
+        call->parent && board_.parents.cells[call->parent->cell].holds_finished_work.load(
+                            std::memory_order_relaxed);
     call->level = decide::make_level(request.call.rank, request.call.holds_finished_work, id);
     call->first_budget = call->parent ? decide::borrow_from_parent(board_.parents, *call->parent)
                          : request.from_backend ? 0
@@ -215,10 +214,9 @@
   }
 
   void send_to_self(const call_ptr& call, wire::call_request request, support::time_point now) {
-    request.time_left_us = static_cast<std::uint64_t>(
-        std::max<std::int64_t>(0, std::chrono::duration_cast<support::microseconds>(
-                                      call->request.deadline - now)
-                                      .count()));
+    request.time_left_us = static_cast<std::uint64_t>(std::max<std::int64_t>(
+        0,
+        std::chrono::duration_cast<support::microseconds>(call->request.deadline - now).count()));
     // The reply may come before serve returns, and then there is nothing to cancel any more.
     const auto sequence = call->attempts;
     const auto local = environment_.upstream->serve(
@@ -238,10 +236,9 @@
     }
     const auto& routes = view.services[slot];
     call.subset_size = static_cast<std::uint32_t>(routes.route.upstreams.size());
-    const auto chosen = protects()
-                            ? decide::choose_upstream(routes.route, board_.spills[slot], call.tried,
-                                                      now, call.home.random)
-                            : choose_any(routes.route, call.home.random);
+    const auto chosen = protects() ? decide::choose_upstream(routes.route, board_.spills[slot],
+                                                             call.tried, now, call.home.random)
+                                   : choose_any(routes.route, call.home.random);
     if (!chosen) {
       return false;
     }
@@ -287,15 +284,15 @@
     facts.threshold = reply.limit != 0 ? reply.threshold : decide::accept_all;
     facts.lent_attempts = call.current.lent;
     // A call of which no byte was sent has spent nothing.
-    facts.unused_attempts =
-        reply.limit == 0 && reply.outcome == wire::outcome::not_run ? call.current.lent
-                                                                    : reply.unused_attempts;
+    facts.unused_attempts = reply.limit == 0 && reply.outcome == wire::outcome::not_run
+                                ? call.current.lent
+                                : reply.unused_attempts;
     facts.load = {reply.in_flight, reply.queued, reply.limit, reply.service_time_us};
     facts.upstream_failed = upstream_failed(reply);
     const std::array<std::uint32_t, 1> subjects{call.request.threshold_subject};
-    const std::span<const std::uint32_t> learned =
-        reply.limit != 0 ? std::span<const std::uint32_t>(subjects)
-                         : std::span<const std::uint32_t>();
+    const std::span<const std::uint32_t> learned = reply.limit != 0
+                                                       ? std::span<const std::uint32_t>(subjects)
+                                                       : std::span<const std::uint32_t>();
     decide::on_reply(*call.current.load, board_.thresholds, learned, call.budget, facts, now);
   }
 
@@ -314,9 +311,8 @@
     failed.retries = call->retries;
     failed.deadline = call->request.deadline;
     failed.expected_service_time = support::microseconds(reply.service_time_us);
-    const auto decision =
-        decide::may_retry(call->budget, board_.retries[call->request.service_slot], failed, now,
-                          call->home.random);
+    const auto decision = decide::may_retry(
+        call->budget, board_.retries[call->request.service_slot], failed, now, call->home.random);
     if (!decision.retry) {
       return false;
     }
@@ -389,9 +385,8 @@
     record.rank = call.request.call.rank;
     record.depth = call.request.call.depth;
     record.level = call.level;
-    record.threshold =
-        decide::entry_threshold(board_.thresholds, call.request.threshold_subject,
-                                call.request.organisation_slot, now);
+    record.threshold = decide::entry_threshold(board_.thresholds, call.request.threshold_subject,
+                                               call.request.organisation_slot, now);
     record.attempts = call.attempts;
     record.total_us = static_cast<std::uint64_t>(
         std::chrono::duration_cast<support::microseconds>(now - call.arrived).count());
--- a/lib/daemon/entry_request.cpp
+++ b/lib/daemon/entry_request.cpp
@@ -34,16 +34,28 @@
   if (service.empty()) {
     return std::nullopt;
   }
-  return call_target{service, end == std::string_view::npos ? std::string_view{} : path.substr(end)};
+  return call_target{service,
+                     end == std::string_view::npos ? std::string_view{} : path.substr(end)};
 }
 
-wire::request_id mint_id(support::random_source& random) { return {random(), random() | 1U}; }
+std::string absolute_target(std::string_view rest) {
+  std::string target(rest);
+  if (target.empty() || target.front() != '/') {
+    target.insert(target.begin(), '/');
+  }
+  return target;
+}
+
+wire::request_id mint_id(support::random_source& random) {
+  return {random(), random() | 1U};
+}
 
 // What an outside caller is given, by the policy for outside callers.
 absl::Status apply_outside_policy(const model::snapshot& snapshot, const net::call_headers& headers,
                                   const model::limits& limits, entry_request& result) {
   const auto* compiled = snapshot.find_caller_policy(model::outside_policy_name);
-  const model::caller_policy policy = compiled != nullptr ? compiled->policy : model::caller_policy{};
+  const model::caller_policy policy =
+      compiled != nullptr ? compiled->policy : model::caller_policy{};
   auto& call = result.call;
   call.organisation = policy.may_set_organisation && !headers.organisation.empty()
                           ? headers.organisation
@@ -118,8 +130,7 @@
   call.id = headers.id ? *headers.id : mint_id(random);
   call.service = compiled.name;
   call.method = request.method;
-  call.target = target->rest.empty() || target->rest.front() != '/' ? "/" : "";
-  call.target += target->rest;
+  call.target = absolute_target(target->rest);
   call.idempotency_key = headers.idempotency_key;
   const auto facts = view.snapshot.classify(*service, call.method, call.target);
   call.rank = facts.rank;
