--- /dev/null
+++ b/include/acaciasill/daemon/admin_pages.h
@@ -0,0 +1,41 @@
+#ifndef ACACIASILL_DAEMON_ADMIN_PAGES_H
+#define ACACIASILL_DAEMON_ADMIN_PAGES_H
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "acaciasill/control/node.h"
+#include "acaciasill/daemon/backend_registry.h"
+#include "acaciasill/net/http_server.h"
+
+namespace acaciasill::board {
+struct call_board;
+}
+
+// The pages for operators and the local backend server, beside the calls.
+namespace acaciasill::daemon {
+
+class call_metrics;
+struct request_thread;
+
+// What the pages show and tell. Functions that reach into the control part post to its thread and
+// call back from there.
+struct admin_environment {
+  board::call_board* board = nullptr;
+  call_metrics* metrics = nullptr;
+  std::vector<request_thread*> threads;
+  std::string name;
+  std::string data_centre;
+  std::function<void(const backend_announcement&)> announce;
+  std::function<void()> leave;
+  std::function<void(std::function<void(control::node_status, control::cluster_view)>)> ask_status;
+};
+
+// Answers one request that is no call. The responder is called once, on the thread that home names.
+void serve_admin_page(const admin_environment& environment, request_thread& home,
+                      const net::http_request& request, net::http_responder respond);
+
+} // namespace acaciasill::daemon
+
+#endif
--- a/include/acaciasill/net/http_server.h
+++ b/include/acaciasill/net/http_server.h
@@ -38,6 +38,8 @@
   std::uint16_t status = 200;
   std::vector<wire::header_field> headers;
   std::string body;
+  // Whether the connection ends with this response.
+  bool close_connection = false;
 
   bool operator==(const http_response&) const = default;
 };
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -84,15 +84,20 @@
     return facts;
   }
 
-  bool serves(const wire::call_request& request) {
+  // Why the local backend server cannot take the call; ok where it can.
+  result_code cannot_serve(const wire::call_request& request) {
     const board::rcu_read_guard guard;
     const auto& target = board_.backend.read(guard);
-    return target.present && target.service == request.service;
+    if (!target.present) {
+      // Its leave, or loss, has not reached the caller yet.
+      return result_code::draining;
+    }
+    return target.service == request.service ? result_code::ok : result_code::no_upstream;
   }
 
   void admit(request_thread& home, running_call& call) {
-    if (!serves(call.request)) {
-      refuse(home, call, result_code::no_upstream, 0);
+    if (const auto code = cannot_serve(call.request); code != result_code::ok) {
+      refuse(home, call, code, 0);
       return;
     }
     if (!protects()) {
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -64,6 +64,9 @@
   for (auto& field : response.headers) {
     builder.append_header(std::move(field.name), std::move(field.value));
   }
+  if (response.close_connection) {
+    builder.connection_close();
+  }
   builder.set_body(std::move(response.body));
   builder.done();
 }
