--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -111,16 +111,15 @@
 
   // Makes the call path and binds the address for other daemons.
   absl::Status open_calls() {
-    net::peer_settings peer_settings;
-    peer_settings.peer_key = settings_.peer_key;
-    peer_settings.allow_unauthenticated = settings_.allow_unauthenticated;
+    peer_settings_.peer_key = settings_.peer_key;
+    peer_settings_.allow_unauthenticated = settings_.allow_unauthenticated;
     const auto address = net::parse_peer_address(settings_.peer_listen);
     if (!address.ok()) {
       return address.status();
     }
     const auto contexts = request_contexts();
     auto listener = net::peer_listener::listen(
-        contexts, *address, peer_settings,
+        contexts, *address, peer_settings_,
         {[this](const net::call_key& key, wire::call_request request, net::call_responder respond) {
            on_peer_call(key, std::move(request), std::move(respond));
          },
@@ -130,7 +129,7 @@
     }
     listener_ = *std::move(listener);
     call_address_ = to_text(listener_->address());
-    peers_ = std::make_unique<net::peer_pool>(contexts, peer_settings);
+    peers_ = std::make_unique<net::peer_pool>(contexts, peer_settings_);
     make_call_path();
     return absl::OkStatus();
   }
@@ -152,11 +151,12 @@
   }
 
   absl::Status open_control() {
-    net::gossip_settings gossip_settings;
-    gossip_settings.peer_key = settings_.peer_key;
-    gossip_settings.allow_unauthenticated = settings_.allow_unauthenticated;
+    const auto address = net::parse_gossip_address(settings_.gossip_listen);
+    if (!address.ok()) {
+      return address.status();
+    }
     auto socket = net::gossip_socket::open(
-        control_context_, settings_.gossip_listen, gossip_settings,
+        control_context_, *address, peer_settings_,
         [this](const std::string& from, control::datagram message) {
           control_->handle(control::peer_received{from, std::move(message)});
         });
@@ -464,6 +464,7 @@
   static thread_local std::size_t current_thread_index;
 
   daemon_settings settings_;
+  net::peer_settings peer_settings_;
   board::call_board board_;
   call_metrics metrics_;
   std::vector<std::unique_ptr<request_thread>> threads_;
@@ -478,7 +479,7 @@
   std::unique_ptr<net::peer_pool> peers_;
   std::unique_ptr<upstream_calls> upstream_;
   std::unique_ptr<entry_calls> entry_;
-  std::unique_ptr<net::gossip_socket> gossip_;
+  std::shared_ptr<net::gossip_socket> gossip_;
   std::unique_ptr<control_loop> control_;
   std::unique_ptr<backend_registry> registry_;
   std::unique_ptr<net::platform_client> platform_;
