--- a/include/acaciasill/control/claims.h
+++ b/include/acaciasill/control/claims.h
@@ -25,8 +25,10 @@
 struct claim_settings {
   // Names this life of the daemon, without spaces; no other life may ever have the same.
   std::string holder;
-  // How long the first row of a group waits for others.
+  // How long a claim waits for others.
   support::milliseconds group_window{2};
+  // How long the recorded end of a run waits for a group to go along with.
+  support::milliseconds record_window{100};
   // Rows of one write.
   std::uint32_t max_group = 64;
   // Requests to the platform at once.
--- a/lib/control/claims.cpp
+++ b/lib/control/claims.cpp
@@ -26,12 +26,10 @@
   step.actions.push_back(claim_refused{call, code, earlier, std::move(holder)});
 }
 
-void enqueue(claim_step& step, const std::string& row_key) {
-  auto& waiting = step.state.waiting;
-  if (waiting.empty()) {
-    step.state.waiting_since = step.now;
-  }
-  waiting.push_back(row_key);
+// Lets a row wait for others; the first row whose window ends takes all along.
+void enqueue(claim_step& step, const std::string& row_key, support::duration window) {
+  step.state.flush_at = std::min(step.state.flush_at, step.now + window);
+  step.state.waiting.push_back(row_key);
 }
 
 // Forgets a key that this daemon has nothing to do with any more.
@@ -71,8 +69,11 @@
 void record_end(claim_step& step, const std::string& row_key, held_key& held, run_outcome outcome) {
   held.phase = claim_phase::ending;
   held.row.outcome = outcome;
-  held.until = step.now + step.state.settings.record_patience;
-  enqueue(step, row_key);
+  const auto& settings = step.state.settings;
+  held.until = step.now + settings.record_patience;
+  // A key that is given back may be wanted again at once; any other end is in no hurry.
+  const bool is_urgent = outcome == run_outcome::not_run;
+  enqueue(step, row_key, is_urgent ? settings.group_window : settings.record_window);
 }
 
 // ---- What became of one row ----
@@ -290,7 +291,7 @@
     held.until = event.deadline;
     state.keys.insert_or_assign(row_key, std::move(held));
     state.key_of_call[event.call] = row_key;
-    enqueue(step, row_key);
+    enqueue(step, row_key, state.settings.group_window);
   }
 
   void operator()(const claim_abandoned& event) const {
@@ -431,13 +432,16 @@
 void make_groups(claim_step& step) {
   auto& waiting = step.state.waiting;
   const auto& settings = step.state.settings;
-  const bool has_waited = step.state.waiting_since + settings.group_window <= step.now;
+  const bool has_waited = step.state.flush_at <= step.now;
   while (waiting.size() >= settings.max_group || (has_waited && !waiting.empty())) {
     const auto count = std::min<std::size_t>(waiting.size(), settings.max_group);
     const auto end = waiting.begin() + static_cast<std::ptrdiff_t>(count);
     send_later(step, {.keys = {waiting.begin(), end}});
     waiting.erase(waiting.begin(), end);
   }
+  if (waiting.empty()) {
+    step.state.flush_at = time_point::max();
+  }
 }
 
 void send_ready(claim_step& step) {
@@ -459,10 +463,7 @@
 
 void set_timer(claim_step& step) {
   const auto& state = step.state;
-  time_point at = time_point::max();
-  if (!state.waiting.empty()) {
-    at = state.waiting_since + state.settings.group_window;
-  }
+  time_point at = state.flush_at;
   if (state.sent.size() < state.settings.max_requests) {
     for (const auto& group : state.ready) {
       at = std::min(at, group.ready_at);
--- a/lib/control/claims_state.h
+++ b/lib/control/claims_state.h
@@ -52,9 +52,9 @@
   claim_settings settings;
   std::unordered_map<std::string, held_key> keys;
   std::unordered_map<std::uint64_t, std::string> key_of_call;
-  // Row keys that wait to be grouped, and when the first of them came.
+  // Row keys that wait to be grouped, and when they no longer wait.
   std::deque<std::string> waiting;
-  support::time_point waiting_since{};
+  support::time_point flush_at = support::time_point::max();
   // Groups that wait to be sent, and those that were sent, by ticket.
   std::deque<row_group> ready;
   std::unordered_map<std::uint64_t, row_group> sent;
