Copy the numbers of a datagram's list as bytes

libFuzzer found, after about 100 s, a list of 64-bit numbers at an address that is not a multiple of 8: FlatBuffers' verifier checks the alignment of table fields and of a list's length, but not of its elements. Reading them in place is undefined.

--- a/lib/wire/datagram_codec.cpp
+++ b/lib/wire/datagram_codec.cpp
@@ -157,15 +157,17 @@
                 control::max_chunk_bytes);
   }
 
+  // Whether a size is within its limit.
+  bool allows(std::size_t size, std::size_t max) {
+    is_ok_ = is_ok_ && size <= max;
+    return size <= max;
+  }
+
   // Reads a list by a function for each element; an empty one where it is too long.
   template <typename Value, typename Table, typename Read>
   std::vector<Value> list(const flatbuffers::Vector<Table>* values, std::size_t max, Read read) {
     std::vector<Value> result;
-    if (values == nullptr) {
-      return result;
-    }
-    if (values->size() > max) {
-      is_ok_ = false;
+    if (values == nullptr || !allows(values->size(), max)) {
       return result;
     }
     result.reserve(values->size());
@@ -177,11 +179,7 @@
 
 private:
   std::string copy(std::string_view value, std::size_t max) {
-    if (value.size() > max) {
-      is_ok_ = false;
-      return {};
-    }
-    return std::string(value);
+    return allows(value.size(), max) ? std::string(value) : std::string();
   }
 
   bool is_ok_ = true;
@@ -213,10 +211,20 @@
           reader.list<control::scope_digest>(table.scopes(), control::max_scopes, read)};
 }
 
+// The verifier does not check that the numbers of a list are aligned, so they are copied as bytes.
 control::bucket_digests bucket_digests_of(checked_reader& reader, const fb::bucket_digests& table) {
-  const auto read = [](std::uint64_t digest) { return digest; };
-  return {reader.text(table.data_centre()),
-          reader.list<std::uint64_t>(table.digests(), control::max_buckets, read)};
+  control::bucket_digests body{reader.text(table.data_centre()), {}};
+  const auto* digests = table.digests();
+  if (digests == nullptr || !reader.allows(digests->size(), control::max_buckets)) {
+    return body;
+  }
+  body.digests.resize(digests->size());
+  for (std::size_t index = 0; index < body.digests.size(); ++index) {
+    std::uint64_t number = 0;
+    std::memcpy(&number, digests->Data() + index * sizeof(number), sizeof(number));
+    body.digests[index] = flatbuffers::EndianScalar(number);
+  }
+  return body;
 }
 
 control::chunk chunk_of(checked_reader& reader, const fb::chunk& table) {
