--- a/tools/standin-platform/faults.cpp
+++ b/tools/standin-platform/faults.cpp
@@ -96,6 +96,10 @@
     if (expired || each.count == 0 || !meets(each, is_write)) {
       continue;
     }
+    if (each.after > 0) {
+      --each.after;
+      continue;
+    }
     apply(each, met);
     if (each.count) {
       --*each.count;
@@ -119,13 +123,15 @@
   result.scope = *scope;
   std::optional<std::uint64_t> duration_seconds;
   std::optional<std::uint64_t> delay_ms;
+  std::optional<std::uint64_t> after;
   for (const auto& status :
        {read_number(query, "count", result.count), read_number(query, "seconds", duration_seconds),
-        read_number(query, "ms", delay_ms)}) {
+        read_number(query, "ms", delay_ms), read_number(query, "after", after)}) {
     if (!status.ok()) {
       return status;
     }
   }
+  result.after = after.value_or(0);
   if (duration_seconds) {
     result.until = now + support::seconds(std::min(*duration_seconds, max_seconds));
   }
--- a/tools/standin-platform/faults.h
+++ b/tools/standin-platform/faults.h
@@ -27,6 +27,8 @@
 struct fault {
   fault_kind kind{};
   fault_scope scope = fault_scope::all;
+  // How many requests it lets pass before it meets one.
+  std::uint64_t after = 0;
   // How many requests it still meets; nothing for any number.
   std::optional<std::uint64_t> count;
   // When it ends; nothing for never.
@@ -62,7 +64,7 @@
   std::vector<fault> faults_;
 };
 
-// Reads a fault from the query "kind=lost&scope=writes&count=1&seconds=2&ms=100". Errors:
+// Reads a fault from the query "kind=lost&scope=writes&after=1&count=1&seconds=2&ms=100". Errors:
 // bad_request.
 absl::StatusOr<fault> parse_fault(const std::string& query, support::time_point now);
 
--- a/tools/standin-platform/main.cpp
+++ b/tools/standin-platform/main.cpp
@@ -25,8 +25,8 @@
 const support::program_description program = {
     "standin-platform",
     "A stand-in for the platform's table service and object store, in memory. Faults are switched "
-    "by\nPOST /fault?kind=outage|hang|slow|lost|wrong|clear&scope=all|reads|writes&count=N&"
-    "seconds=S&ms=M.",
+    "by\nPOST /fault?kind=outage|hang|slow|lost|wrong|clear&scope=all|reads|writes&after=N&"
+    "count=N&seconds=S&ms=M.",
     support::with_log_options({{"config", 'c', "FILE", "settings in YAML"},
                                {"port", 'p', "PORT", "listens here in place of the file's port"}})};
 
