--- a/include/acaciasill/control/node.h
+++ b/include/acaciasill/control/node.h
@@ -197,6 +197,8 @@
   std::string data_centre;
   std::string service;
   std::uint64_t incarnation = 0;
+  // Differs between two lives of a process at one address.
+  std::uint64_t start_nonce = 0;
   std::uint32_t slots = 0;
   std::uint32_t connections = 0;
   bool suspect = false;
--- a/lib/control/views.cpp
+++ b/lib/control/views.cpp
@@ -26,6 +26,7 @@
   seen.data_centre = fields.data_centre;
   seen.service = fields.service;
   seen.incarnation = fields.incarnation;
+  seen.start_nonce = fields.start_nonce;
   seen.slots = fields.slots;
   seen.connections = fields.connections;
   seen.suspect = fields.state == member_state::suspect || is_cut_off(state, fields.data_centre);
--- /dev/null
+++ b/tools/acaciasill-replay/json_values.cpp
@@ -0,0 +1,258 @@
+#include "json_values.h"
+
+#include <iterator>
+
+#include "acaciasill/control/message_bag.h"
+#include "acaciasill/support/hash.h"
+
+namespace acaciasill::replay {
+namespace {
+
+using namespace acaciasill::control;
+using nlohmann::json;
+using nlohmann::ordered_json;
+
+template <typename value>
+void read(const json& line, const char* key, value& target) {
+  if (const auto found = line.find(key); found != line.end()) {
+    target = found->get<value>();
+  }
+}
+
+member read_member(const json& line) {
+  member fields;
+  read(line, "gossip", fields.gossip_address);
+  read(line, "call", fields.call_address);
+  read(line, "name", fields.name);
+  read(line, "data_centre", fields.data_centre);
+  read(line, "service", fields.service);
+  read(line, "incarnation", fields.incarnation);
+  read(line, "nonce", fields.start_nonce);
+  read(line, "draining", fields.draining);
+  read(line, "slots", fields.slots);
+  read(line, "connections", fields.connections);
+  std::uint8_t state = 0;
+  read(line, "state", state);
+  fields.state = static_cast<member_state>(state);
+  return fields;
+}
+
+message_body read_body(const json& line) {
+  std::string kind = "gossip";
+  read(line, "message", kind);
+  if (kind == "probe" || kind == "probe_ack") {
+    std::uint64_t sequence = 0;
+    read(line, "sequence", sequence);
+    return kind == "probe" ? message_body(probe{sequence}) : message_body(probe_ack{sequence});
+  }
+  if (kind == "configuration_query") {
+    return configuration_query{};
+  }
+  if (kind == "configuration_offer") {
+    configuration_offer offer;
+    read(line, "generation", offer.generation);
+    read(line, "digest", offer.digest);
+    return offer;
+  }
+  if (kind == "chunk") {
+    chunk part;
+    read(line, "digest", part.digest);
+    read(line, "offset", part.offset);
+    read(line, "bytes", part.bytes);
+    part.total = static_cast<std::uint32_t>(part.bytes.size());
+    read(line, "total", part.total);
+    return part;
+  }
+  return gossip{};
+}
+
+peer_received read_datagram(const json& line) {
+  peer_received input;
+  read(line, "from", input.from);
+  read(line, "sender_incarnation", input.message.sender_incarnation);
+  read(line, "sender_nonce", input.message.sender_nonce);
+  read(line, "generation_in_force", input.message.configuration_generation);
+  for (const auto& update : line.value("updates", json::array())) {
+    input.message.updates.push_back(read_member(update));
+  }
+  input.message.body = read_body(line);
+  return input;
+}
+
+platform_answer read_answer(const json& line) {
+  platform_answer answer;
+  std::string end = "done";
+  read(line, "ticket", answer.ticket);
+  read(line, "end", end);
+  read(line, "bytes", answer.bytes);
+  answer.end = end == "done"            ? platform_end::done
+               : end == "refused"       ? platform_end::refused
+               : end == "failed_before" ? platform_end::failed_before
+                                        : platform_end::unknown;
+  for (const auto& row : line.value("rows", json::array())) {
+    answer.rows.push_back({row.at("key"), row.at("value"), row.at("version")});
+  }
+  return answer;
+}
+
+const char* name_of(const message_body& body) {
+  constexpr const char* names[] = {"gossip",
+                                   "probe",
+                                   "probe_ack",
+                                   "indirect_probe",
+                                   "sync_digest",
+                                   "bucket_digests",
+                                   "sync_records",
+                                   "page_request",
+                                   "page",
+                                   "configuration_query",
+                                   "configuration_offer",
+                                   "chunk_request",
+                                   "chunk"};
+  static_assert(std::size(names) == std::variant_size_v<message_body>);
+  return names[body.index()];
+}
+
+ordered_json describe(const view_member& seen) {
+  ordered_json value = {{"call", seen.call_address},       {"name", seen.name},
+                        {"data_centre", seen.data_centre}, {"service", seen.service},
+                        {"incarnation", seen.incarnation}, {"slots", seen.slots}};
+  if (seen.suspect) {
+    value["suspect"] = true;
+  }
+  if (seen.draining) {
+    value["draining"] = true;
+  }
+  return value;
+}
+
+struct action_printer {
+  printed_action operator()(const send_datagram& sent) const {
+    ordered_json value = {{"send", name_of(sent.message.body)}, {"to", sent.to}};
+    for (const auto& fields : sent.message.updates) {
+      value["about"].push_back(fields.gossip_address);
+    }
+    return {value, true};
+  }
+  printed_action operator()(const platform_request& request) const {
+    if (const auto* write = std::get_if<write_rows>(&request.operation)) {
+      ordered_json rows;
+      for (const auto& row : write->rows) {
+        rows.push_back({{"key", row.key}, {"value", row.value}, {"version", row.version}});
+      }
+      return {{{"write_rows", rows}}, false};
+    }
+    if (const auto* row = std::get_if<read_row>(&request.operation)) {
+      return {{{"read_row", row->key}, {"ticket", request.ticket}}, true};
+    }
+    if (const auto* list = std::get_if<list_rows>(&request.operation)) {
+      return {{{"list_rows", list->prefix}, {"ticket", request.ticket}}, true};
+    }
+    if (const auto* object = std::get_if<read_object>(&request.operation)) {
+      return {{{"read_object", object->digest.substr(0, 12)}, {"ticket", request.ticket}}, true};
+    }
+    return {{{"write_object", std::get<write_object>(request.operation).digest}}, false};
+  }
+  printed_action operator()(const set_timer& timer) const {
+    const auto at = support::whole_milliseconds(timer.at - message_bag::epoch);
+    return {{{"set_timer", at}}, true};
+  }
+  printed_action operator()(const publish_view& published) const {
+    const cluster_view& view = published.view;
+    ordered_json value = {{"view", view.version},
+                          {"ready", view.ready},
+                          {"confirmed", view.confirmed},
+                          {"leaving", view.leaving}};
+    value["members"] = ordered_json::array();
+    for (const auto& seen : view.members) {
+      value["members"].push_back(describe(seen));
+    }
+    return {value, false};
+  }
+  printed_action operator()(const publish_configuration& published) const {
+    return {{{"configuration", published.generation},
+             {"digest", published.digest.substr(0, 12)},
+             {"bytes", published.bytes.size()}},
+            false};
+  }
+  printed_action operator()(const log_line& line) const {
+    return {{{"log", line.part}, {"text", line.text}}, false};
+  }
+  printed_action operator()(const ready_to_exit&) const {
+    return {{{"ready_to_exit", true}}, false};
+  }
+};
+
+} // namespace
+
+node_settings read_settings(const json& line) {
+  node_settings settings;
+  read(line, "name", settings.name);
+  read(line, "data_centre", settings.data_centre);
+  read(line, "gossip", settings.gossip_address);
+  read(line, "call", settings.call_address);
+  read(line, "seeds", settings.seeds);
+  read(line, "serve_without_configuration", settings.serve_without_configuration);
+  return settings;
+}
+
+std::optional<event> read_event(const std::string& name, const json& line) {
+  if (name == "start") {
+    return node_started{};
+  }
+  if (name == "timer") {
+    return timer_fired{};
+  }
+  if (name == "datagram") {
+    return read_datagram(line);
+  }
+  if (name == "answer") {
+    return read_answer(line);
+  }
+  if (name == "announce") {
+    backend_announced input;
+    read(line, "service", input.service);
+    read(line, "slots", input.slots);
+    read(line, "connections", input.connections);
+    read(line, "address", input.address);
+    return input;
+  }
+  if (name == "report") {
+    backend_reported input;
+    read(line, "slots", input.slots);
+    read(line, "connections", input.connections);
+    read(line, "draining", input.draining);
+    return input;
+  }
+  if (name == "backend_left") {
+    return backend_left{};
+  }
+  if (name == "call_finished") {
+    call_finished input;
+    read(line, "call", input.call_address);
+    read(line, "answered", input.answered);
+    return input;
+  }
+  if (name == "shutdown") {
+    return shutdown_requested{};
+  }
+  if (name == "in_flight") {
+    in_flight_reported input;
+    read(line, "calls", input.calls);
+    return input;
+  }
+  if (name == "services") {
+    services_configured input;
+    for (const auto& [service, calls] : line.at("calls").items()) {
+      input.services.push_back({service, calls.get<std::vector<std::string>>()});
+    }
+    return input;
+  }
+  return std::nullopt;
+}
+
+printed_action print_action(const action& next) {
+  return std::visit(action_printer{}, next);
+}
+
+} // namespace acaciasill::replay
