--- a/include/acaciasill/daemon/upstream_calls.h
+++ b/include/acaciasill/daemon/upstream_calls.h
@@ -19,7 +19,7 @@
 namespace acaciasill::daemon {
 
 class call_metrics;
-class key_claims;
+struct key_claims;
 struct request_thread;
 
 using upstream_reply = std::function<void(wire::call_reply)>;
