Add stateful fuzzing of three nodes, with deliberate faults that it has to find

Random sessions of datagrams lost, doubled and late, cuts, pauses, publications, outages, lost answers and a table that is set back are checked against three plain properties: no generation reverts, a leaving member gets no new work after 2 s, and views and configurations agree after quiet time. News of a leave are now sent three times as often as other news, since with a fifth of the datagrams lost four copies may all be lost before the next comparison.

--- a/lib/control/sending.cpp
+++ b/lib/control/sending.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::uint32_t spread_multiplier = 4;
 
+// A leave is sent more often than other news, since a lost one costs calls.
+constexpr std::uint32_t urgent_factor = 3;
+
 // Records that may go into one datagram.
 constexpr std::size_t max_candidates = 16;
 
@@ -78,7 +81,8 @@
       continue;
     }
     message.updates.push_back(stamp_record(state, *entry));
-    if (++state.rumours.records[address].sent >= limit) {
+    rumour& news = state.rumours.records[address];
+    if (++news.sent >= (news.urgent ? urgent_factor * limit : limit)) {
       state.rumours.records.erase(address);
     }
   }
--- /dev/null
+++ b/unittests/control/stateful_test.cpp
@@ -0,0 +1,286 @@
+// Stateful fuzzing of three nodes and a bag of messages, against an oracle for each property. The
+// commands drop, double and delay datagrams, stop and continue a node, publish and lose answers.
+#include <set>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include "../../lib/control/node_state.h"
+#include "acaciasill/control/message_bag.h"
+
+using namespace acaciasill;
+using namespace acaciasill::control;
+using support::milliseconds;
+using support::seconds;
+
+namespace {
+
+constexpr int node_count = 3;
+
+// Faults that a test puts into the nodes' state on purpose, to see that a property finds them.
+enum class deliberate_fault {
+  none,
+  forgets_generation, // A node forgets which generation it has in force.
+  hides_leave,        // A leaving node does not say so.
+  neither_spreads,    // Nodes pass no news on and compare nothing.
+};
+
+// What the oracle knows: plain facts, no copy of the code under test.
+struct oracle {
+  std::uint64_t published = 0;
+  std::set<int> left;
+  std::set<int> paused;
+  bool cut = false;
+  bool set_back = false;
+};
+
+struct fixture {
+  explicit fixture(deliberate_fault chosen) : bag(7), fault(chosen) {
+    bag.observe = [this](const std::string& from, const action& next) { check(from, next); };
+    for (int index = 0; index < node_count; ++index) {
+      addresses.push_back(bag.add("accra", addresses));
+    }
+    bag.run(seconds(4));
+  }
+
+  // The first property: no node ever puts an older generation in force.
+  void check(const std::string& from, const action& next) {
+    if (const auto* published = std::get_if<publish_configuration>(&next)) {
+      std::uint64_t& highest = generations[from];
+      reverted = reverted || published->generation < highest;
+      highest = std::max(highest, published->generation);
+    }
+  }
+
+  // Lets time pass in short spans, so that a deliberate fault acts all along.
+  void let_pass(milliseconds span) {
+    constexpr milliseconds stride{100};
+    for (milliseconds passed{0}; passed < span; passed += stride) {
+      bag.run(std::min(stride, span - passed));
+      for (const auto& address : addresses) {
+        put_fault_in(*bag.at(address).state);
+      }
+    }
+  }
+
+  void put_fault_in(node_state& state) const {
+    if (fault == deliberate_fault::forgets_generation) {
+      state.configuration.generation = 0;
+    }
+    if (fault == deliberate_fault::hides_leave) {
+      state.records.by_address.at(state.settings.gossip_address).fields.draining = false;
+      state.rumours.records.clear();
+    }
+    if (fault == deliberate_fault::neither_spreads) {
+      state.rumours.records.clear();
+      state.next_sync = state.now + seconds(3600);
+    }
+  }
+
+  message_bag bag;
+  deliberate_fault fault;
+  std::vector<std::string> addresses;
+  std::map<std::string, std::uint64_t> generations;
+  std::string first_head;
+  bool reverted = false;
+};
+
+bool takes_new_work(fixture& system, int viewer, int target) {
+  const std::string& call = system.bag.at(system.addresses[target]).settings.call_address;
+  for (const auto& known : system.bag.at(system.addresses[viewer]).view.members) {
+    if (known.call_address == call && !known.draining && !known.suspect) {
+      return true;
+    }
+  }
+  return false;
+}
+
+using command = rc::state::Command<oracle, fixture>;
+
+struct pass_time : command {
+  milliseconds span{*rc::gen::inRange(50, 4000)};
+
+  void run(const oracle&, fixture& system) const override {
+    system.let_pass(span);
+    RC_ASSERT_FALSE(system.reverted);
+  }
+  void show(std::ostream& output) const override { output << "pass " << span.count() << " ms"; }
+};
+
+struct publish : command {
+  void checkPreconditions(const oracle& model) const override {
+    RC_PRE(model.published < 5U && !model.set_back);
+  }
+  void apply(oracle& model) const override { ++model.published; }
+  void run(const oracle& model, fixture& system) const override {
+    system.bag.platform.publish("object " + std::to_string(model.published + 1));
+    if (model.published == 0) {
+      system.first_head = system.bag.platform.rows.at("head/configuration").value;
+    }
+  }
+  void show(std::ostream& output) const override { output << "publish"; }
+};
+
+struct pause_node : command {
+  int node = *rc::gen::inRange(0, node_count);
+
+  void checkPreconditions(const oracle& model) const override {
+    RC_PRE(!model.paused.contains(node) && !model.left.contains(node));
+  }
+  void apply(oracle& model) const override { model.paused.insert(node); }
+  void run(const oracle&, fixture& system) const override {
+    system.bag.pause(system.addresses[node]);
+  }
+  void show(std::ostream& output) const override { output << "pause " << node; }
+};
+
+struct continue_node : command {
+  int node = *rc::gen::inRange(0, node_count);
+
+  void checkPreconditions(const oracle& model) const override {
+    RC_PRE(model.paused.contains(node));
+  }
+  void apply(oracle& model) const override { model.paused.erase(node); }
+  void run(const oracle&, fixture& system) const override {
+    system.bag.resume(system.addresses[node]);
+  }
+  void show(std::ostream& output) const override { output << "continue " << node; }
+};
+
+struct change_network : command {
+  bool cut = *rc::gen::arbitrary<bool>();
+  int loss_percent = *rc::gen::inRange(0, 20);
+
+  void apply(oracle& model) const override { model.cut = cut; }
+  void run(const oracle&, fixture& system) const override {
+    const std::string alone = system.addresses[0];
+    system.bag.loss = loss_percent / 100.0;
+    system.bag.doubling = 0.2;
+    system.bag.drops = nullptr;
+    if (cut) {
+      system.bag.drops = [alone](const std::string& from, const std::string& to) {
+        return (from == alone) != (to == alone);
+      };
+    }
+  }
+  void show(std::ostream& output) const override {
+    output << (cut ? "cut off 0" : "join") << " with loss " << loss_percent << "%";
+  }
+};
+
+// The table is set back to its first head, as a wrong restore would do.
+struct set_table_back : command {
+  void checkPreconditions(const oracle& model) const override { RC_PRE(model.published > 1U); }
+  void apply(oracle& model) const override { model.set_back = true; }
+  void run(const oracle&, fixture& system) const override {
+    system.bag.platform.rows.at("head/configuration").value = system.first_head;
+  }
+  void show(std::ostream& output) const override { output << "set the table back"; }
+};
+
+struct change_platform : command {
+  bool away = *rc::gen::arbitrary<bool>();
+  bool loses = *rc::gen::arbitrary<bool>();
+
+  void run(const oracle&, fixture& system) const override {
+    system.bag.platform.away = away;
+    system.bag.platform.loses_answers = loses;
+  }
+  void show(std::ostream& output) const override {
+    output << "platform" << (away ? " away" : "") << (loses ? " loses answers" : "");
+  }
+};
+
+// The second property: 2 s after a leave no connected node's view offers the member.
+struct leave : command {
+  int node = *rc::gen::inRange(1, node_count);
+  std::uint64_t calls = *rc::gen::inRange(0, 2);
+
+  void checkPreconditions(const oracle& model) const override {
+    RC_PRE(model.left.empty() && model.paused.empty() && !model.cut);
+  }
+  void apply(oracle& model) const override { model.left.insert(node); }
+  void run(const oracle&, fixture& system) const override {
+    const std::string& address = system.addresses[node];
+    system.bag.give(address, shutdown_requested{});
+    system.bag.give(address, in_flight_reported{calls});
+    system.put_fault_in(*system.bag.at(address).state);
+    system.let_pass(seconds(2));
+    for (int viewer = 0; viewer < node_count; ++viewer) {
+      RC_ASSERT(viewer == node || !takes_new_work(system, viewer, node));
+    }
+  }
+  void show(std::ostream& output) const override { output << "leave " << node; }
+};
+
+// The third property: once faults end and time passes, all views and configurations agree.
+void check_agreement(fixture& system, const oracle& end) {
+  system.bag.loss = 0.0;
+  system.bag.doubling = 0.0;
+  system.bag.drops = nullptr;
+  system.bag.platform.away = false;
+  system.bag.platform.loses_answers = false;
+  for (const auto& address : system.addresses) {
+    if (system.bag.at(address).paused) {
+      system.bag.resume(address);
+    }
+  }
+  system.let_pass(seconds(20));
+  RC_ASSERT(system.bag.views_agree());
+  RC_ASSERT_FALSE(system.reverted);
+  const bool settles = !end.set_back && system.fault != deliberate_fault::forgets_generation;
+  RC_ASSERT(!settles || system.bag.all_have(end.published));
+}
+
+// Runs random commands and then the check of agreement; every case starts from fresh nodes.
+void run_case(deliberate_fault fault) {
+  const oracle begin;
+  const auto commands = *rc::state::gen::commands(
+      begin,
+      rc::state::gen::execOneOfWithArgs<pass_time, pass_time, publish, pause_node, continue_node,
+                                        change_network, change_platform, set_table_back, leave>());
+  fixture system(fault);
+  rc::state::runAll(commands, begin, system);
+  oracle end = begin;
+  rc::state::applyAll(commands, end);
+  check_agreement(system, end);
+}
+
+// Looks for a deliberate fault and returns the number of the case that found it; 0 for none.
+int cases_to_find(deliberate_fault fault, const std::string& name) {
+  int cases = 0;
+  int found = 0;
+  rc::check(name, [&] {
+    ++cases;
+    try {
+      run_case(fault);
+    } catch (const rc::detail::CaseResult& result) {
+      if (found == 0 && result.type == rc::detail::CaseResult::Type::Failure) {
+        found = cases;
+      }
+      throw;
+    }
+  });
+  return found;
+}
+
+} // namespace
+
+TEST_CASE("configuration, leaves and views hold over random sessions", "[stateful]") {
+  CHECK(rc::check("random sessions of three nodes", [] { run_case(deliberate_fault::none); }));
+}
+
+TEST_CASE("the properties find deliberate faults", "[faults]") {
+  const int forgotten = cases_to_find(deliberate_fault::forgets_generation,
+                                      "a forgotten generation, which has to be found");
+  const int hidden =
+      cases_to_find(deliberate_fault::hides_leave, "a hidden leave, which has to be found");
+  const int silent =
+      cases_to_find(deliberate_fault::neither_spreads, "a lack of gossip, which has to be found");
+  WARN("cases until found: forgotten generation " << forgotten << ", hidden leave " << hidden
+                                                  << ", no gossip " << silent);
+  CHECK(forgotten > 0);
+  CHECK(hidden > 0);
+  CHECK(silent > 0);
+}
