--- a/include/acaciasill/control/claims.h
+++ b/include/acaciasill/control/claims.h
@@ -23,7 +23,7 @@
 
 // Bounds and periods of one daemon's claims.
 struct claim_settings {
-  // Names this life of the daemon, without spaces; no other life may ever have the same.
+  // Names this life of the daemon; no other life may ever have the same. Spaces become dashes.
   std::string holder;
   // How long a claim waits for others.
   support::milliseconds group_window{2};
--- a/lib/control/claims.cpp
+++ b/lib/control/claims.cpp
@@ -483,6 +483,8 @@
 claims_state_ptr make_claims(const claim_settings& settings) {
   claims_state_ptr state(new claims_state);
   state->settings = settings;
+  // The parts of a row are parted by spaces.
+  std::replace(state->settings.holder.begin(), state->settings.holder.end(), ' ', '-');
   return state;
 }
 
--- a/unittests/control/claims_test.cpp
+++ b/unittests/control/claims_test.cpp
@@ -349,6 +349,14 @@
   CHECK(test.one.refused.at(1).code == result_code::outcome_unknown);
 }
 
+TEST_CASE("a holder with spaces in its name writes rows that can be read", "[control]") {
+  two_daemons test;
+  test.one = claiming_daemon("the first one");
+  test.want(test.one, 1, "key");
+  test.pass(milliseconds(2));
+  CHECK(test.row("key").holder == "the-first-one");
+}
+
 TEST_CASE("what is remembered and what is taken on is bounded", "[control]") {
   auto settings = claiming_daemon::settings_of("one-1");
   settings.max_remembered = 10;
