--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 #include <deque>
-#include <queue>
 #include <random>
-#include <unordered_map>
 #include <utility>
 
 #include <asio/dispatch.hpp>
@@ -15,6 +13,8 @@
 #include "acaciasill/support/random.h"
 #include "acaciasill/wire/codec.h"
 
+#include "peer_calls.h"
+
 namespace acaciasill::net {
 namespace {
 
@@ -23,49 +23,8 @@
 using support::time_point;
 using wire::outcome;
 
-// Finished calls whose deadlines may linger before they are swept out.
-constexpr std::size_t sweep_slack = 1024;
-
-// A call that waits for its reply.
-struct pending_call {
-  wire::request_id id;
-  time_point deadline;
-  reply_callback callback;
-  // Held until the connection is open.
-  std::unique_ptr<wire::call_request> unsent;
-  // The place of its first byte in the outgoing stream, once it was sent.
-  std::uint64_t place = 0;
-};
-
-// When a call's time ends; the earliest comes first in a heap.
-struct call_deadline {
-  time_point when;
-  std::uint64_t correlation = 0;
-
-  auto operator<=>(const call_deadline&) const = default;
-};
-
-using deadline_heap =
-    std::priority_queue<call_deadline, std::vector<call_deadline>, std::greater<>>;
-
 enum class link_state { idle, connecting, greeting, open, stopped };
 
-// How much of the backlog a call that waits for the connection takes.
-std::size_t size_of(const wire::call_request& request) {
-  return sizeof(request) + request.body.size();
-}
-
-wire::call_reply made_reply(std::uint64_t correlation, const wire::request_id& id, outcome end,
-                            result_code code) {
-  wire::call_reply reply;
-  reply.correlation = correlation;
-  reply.id = id;
-  reply.outcome = end;
-  reply.code = code;
-  reply.http_status = support::describe(code).http_status;
-  return reply;
-}
-
 class link_to_peer : public peer_link {
 public:
   link_to_peer(asio::io_context& context, peer_address address, const peer_settings& settings)
@@ -87,7 +46,7 @@
 
   void start_call(wire::call_request request, time_point deadline, reply_callback callback);
   void finish_later(std::uint64_t correlation, pending_call call, outcome end, result_code code);
-  pending_call take(std::unordered_map<std::uint64_t, pending_call>::iterator call);
+  pending_call take(pending_calls::iterator call);
   void give_up(std::uint64_t correlation, result_code code);
   void write_call(pending_call& call, wire::call_request& request);
 
@@ -102,7 +61,6 @@
 
   void arm_timer();
   void handle_timer();
-  void sweep_deadlines();
 
   peer_executor executor_;
   peer_address address_;
@@ -121,7 +79,7 @@
   time_point backoff_until_{};
   support::duration backoff_{0};
 
-  std::unordered_map<std::uint64_t, pending_call> calls_;
+  pending_calls calls_;
   std::deque<std::uint64_t> unsent_;
   std::size_t unsent_bytes_ = 0;
   std::uint64_t last_sent_ = 0;
@@ -195,7 +153,7 @@
   if (!has_room || calls_.size() >= settings_.max_calls) {
     return refuse(result_code::peer_backlog);
   }
-  sweep_deadlines();
+  sweep_deadlines(deadlines_, calls_);
   deadlines_.push({deadline, correlation});
   pending_call& kept = calls_.emplace(correlation, std::move(call)).first->second;
   if (state_ == link_state::open) {
@@ -214,13 +172,15 @@
 void link_to_peer::finish_later(std::uint64_t correlation, pending_call call, outcome end,
                                 result_code code) {
   counters_.in_flight.fetch_sub(1, std::memory_order_relaxed);
-  asio::post(executor_, [callback = std::move(call.callback),
-                         reply = made_reply(correlation, call.id, end, code)]() mutable {
+  auto reply = made_reply(end, code);
+  reply.correlation = correlation;
+  reply.id = call.id;
+  asio::post(executor_, [callback = std::move(call.callback), reply = std::move(reply)]() mutable {
     callback(std::move(reply));
   });
 }
 
-pending_call link_to_peer::take(std::unordered_map<std::uint64_t, pending_call>::iterator place) {
+pending_call link_to_peer::take(pending_calls::iterator place) {
   pending_call call = std::move(place->second);
   calls_.erase(place);
   if (call.unsent) {
@@ -438,19 +398,6 @@
   }
 }
 
-// Calls mostly end before their deadlines, which are then dropped here rather than one by one.
-void link_to_peer::sweep_deadlines() {
-  if (deadlines_.size() < 2 * calls_.size() + sweep_slack) {
-    return;
-  }
-  std::vector<call_deadline> alive;
-  alive.reserve(calls_.size());
-  for (const auto& [correlation, call] : calls_) {
-    alive.push_back({call.deadline, correlation});
-  }
-  deadlines_ = deadline_heap(std::greater<>(), std::move(alive));
-}
-
 } // namespace
 
 std::shared_ptr<peer_link> peer_link::create(asio::io_context& context, peer_address address,
--- a/lib/net/peer_pool.cpp
+++ b/lib/net/peer_pool.cpp
@@ -5,18 +5,15 @@
 
 #include <asio/post.hpp>
 
+#include "peer_calls.h"
+
 namespace acaciasill::net {
 namespace {
 
-using support::result_code;
-
 // Answers a call for which the pool has no link.
 void refuse(asio::io_context& context, const wire::call_request& request, reply_callback callback) {
-  wire::call_reply reply;
+  auto reply = made_reply(wire::outcome::not_run, support::result_code::peer_backlog);
   reply.id = request.id;
-  reply.outcome = wire::outcome::not_run;
-  reply.code = result_code::peer_backlog;
-  reply.http_status = support::describe(reply.code).http_status;
   asio::post(context, [callback = std::move(callback), reply = std::move(reply)]() mutable {
     callback(std::move(reply));
   });
--- a/unittests/control/claims_fault_lost_answer_test.cpp
+++ b/unittests/control/claims_fault_lost_answer_test.cpp
@@ -25,6 +25,7 @@
 
 #include "../../lib/control/claims.cpp"
 #include "../../lib/control/claims_row.cpp"
+#include "../../lib/control/claims_settling.cpp"
 
 #include "control/claims_model.h"
 
