--- a/tools/acaciactl/daemon_commands.cpp
+++ b/tools/acaciactl/daemon_commands.cpp
@@ -1,5 +1,10 @@
+#include "daemon.h"
+
+#include <algorithm>
 #include <iostream>
 #include <optional>
+#include <set>
+#include <utility>
 
 #include <asio/io_context.hpp>
 
@@ -7,8 +12,6 @@
 #include "acaciasill/net/backend_client.h"
 #include "acaciasill/net/platform_protocol.h"
 #include "acaciasill/support/result_code.h"
-#include "invocation.h"
-#include "output.h"
 
 namespace acaciasill::ctl {
 namespace {
@@ -17,9 +20,10 @@
 
 constexpr std::size_t max_answer_bytes = std::size_t{16} << 20U;
 constexpr std::uint16_t status_not_found = 404;
+constexpr std::string_view status_path = "/acaciasill/status";
+
+} // namespace
 
-// Asks a daemon for one JSON document. Errors: bad_command_line, peer_unreachable,
-// platform_not_found, peer_mismatch.
 absl::StatusOr<json> ask_daemon(const invocation& asked, const std::string& path) {
   if (asked.daemon_url.empty()) {
     return support::make_error(result_code::bad_command_line, "--daemon URL is needed");
@@ -50,11 +54,32 @@
   return document;
 }
 
+namespace {
+
+// The text member of an object, or empty.
+std::string text_member(const json& object, const char* key) {
+  const auto found = object.find(key);
+  return found != object.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+bool has_service(const model::configuration& set, const std::string& name) {
+  return std::any_of(set.services.begin(), set.services.end(),
+                     [&](const model::service& each) { return each.name == name; });
+}
+
+bool has_data_centre(const model::configuration& set, const std::string& name) {
+  return std::any_of(set.data_centres.begin(), set.data_centres.end(),
+                     [&](const model::data_centre& each) { return each.name == name; });
+}
+
 int print_answer(const invocation& asked, const std::string& path) {
   const auto document = ask_daemon(asked, path);
   if (!document.ok()) {
     return fail(document.status());
   }
+  if (document->is_array() && document->empty()) {
+    return fail(support::make_error(result_code::platform_not_found, path));
+  }
   if (asked.output == output_form::json) {
     print_json(std::cout, *document);
   } else {
@@ -65,8 +90,36 @@
 
 } // namespace
 
+absl::StatusOr<std::vector<model::finding>> find_names_in_use(const invocation& asked,
+                                                              const model::configuration& set) {
+  const auto document = ask_daemon(asked, std::string(status_path));
+  if (!document.ok()) {
+    return document.status();
+  }
+  // Many members share a name; each is reported once.
+  std::set<std::pair<std::string, std::string>> missing;
+  if (const auto members = document->find("members"); members != document->end()) {
+    for (const auto& member : *members) {
+      const auto service = text_member(member, "service");
+      const auto data_centre = text_member(member, "data_centre");
+      if (!service.empty() && !has_service(set, service)) {
+        missing.emplace("service", service);
+      }
+      if (!data_centre.empty() && !has_data_centre(set, data_centre)) {
+        missing.emplace("data_centre", data_centre);
+      }
+    }
+  }
+  std::vector<model::finding> findings;
+  for (const auto& [kind, name] : missing) {
+    findings.push_back({asked.arguments[0], 0, absl::StrCat(kind, " ", name), "name",
+                        result_code::name_in_use, "members have it"});
+  }
+  return findings;
+}
+
 int run_status(const invocation& asked) {
-  return print_answer(asked, "/acaciasill/status");
+  return print_answer(asked, std::string(status_path));
 }
 
 int run_explain(const invocation& asked) {
--- a/tools/acaciactl/main.cpp
+++ b/tools/acaciactl/main.cpp
@@ -29,7 +29,8 @@
     "  explain REQUEST-ID   what a daemon decided about a request\n\n"
     "exit status: 0 done, 1 findings or a conflict, 2 bad input, 3 the platform or daemon is away",
     {{"platform", 'p', "URL", "the platform, http://IP:PORT"},
-     {"daemon", 'd', "URL", "a daemon, http://IP:PORT"},
+     {"daemon", 'd', "URL",
+      "a daemon, http://IP:PORT; with check and publish, names in use are kept"},
      {"output", 'o', "text|json", "how results are printed (text)"},
      {"config", 'c', "FILE", "settings in YAML: platform, daemon, timeout_ms"},
      {"timeout-ms", 0, "MS", "the longest time of the command (30000)"},
--- a/tools/acaciactl/output.cpp
+++ b/tools/acaciactl/output.cpp
@@ -63,6 +63,9 @@
 }
 
 void print_document(std::ostream& out, const json& document) {
+  if (is_object_list(document)) {
+    return print_table(out, to_table(document));
+  }
   if (!document.is_object()) {
     out << cell(document) << '\n';
     return;
--- a/tools/acaciactl/sets.cpp
+++ b/tools/acaciactl/sets.cpp
@@ -7,6 +7,7 @@
 #include "absl/strings/numbers.h"
 #include "acaciasill/model/configuration_set.h"
 #include "acaciasill/support/result_code.h"
+#include "daemon.h"
 #include "output.h"
 
 namespace acaciasill::ctl {
@@ -26,6 +27,21 @@
   }
 }
 
+namespace {
+
+void print_all(const invocation& asked, const std::vector<model::finding>& findings) {
+  if (asked.output == output_form::text) {
+    return model::print_findings(findings);
+  }
+  auto list = json::array();
+  for (const auto& problem : findings) {
+    list.push_back(to_json(problem));
+  }
+  print_json(std::cout, {{"ok", false}, {"findings", std::move(list)}});
+}
+
+} // namespace
+
 std::optional<model::configuration> load_checked(const invocation& asked,
                                                  const std::string& directory, int& exit_status) {
   if (!std::filesystem::is_directory(directory)) {
@@ -35,19 +51,19 @@
   }
   std::vector<model::finding> findings;
   auto loaded = model::load_directory(directory, findings);
+  if (!asked.daemon_url.empty()) {
+    const auto in_use = find_names_in_use(asked, loaded.set);
+    if (!in_use.ok()) {
+      exit_status = fail(in_use.status());
+      return std::nullopt;
+    }
+    findings.insert(findings.end(), in_use->begin(), in_use->end());
+  }
   if (findings.empty()) {
     return std::move(loaded.set);
   }
   exit_status = exit_findings;
-  if (asked.output == output_form::text) {
-    model::print_findings(findings);
-    return std::nullopt;
-  }
-  auto list = json::array();
-  for (const auto& problem : findings) {
-    list.push_back(to_json(problem));
-  }
-  print_json(std::cout, {{"ok", false}, {"findings", std::move(list)}});
+  print_all(asked, findings);
   return std::nullopt;
 }
 
--- a/tools/acaciactl/sets.h
+++ b/tools/acaciactl/sets.h
@@ -11,7 +11,8 @@
 
 namespace acaciasill::ctl {
 
-// Reads and checks a folder; prints its findings and stores the exit status where it is not good.
+// Reads and checks a folder, where a daemon's URL was given also against the names that its members
+// use; prints the findings and stores the exit status where it is not good.
 std::optional<model::configuration> load_checked(const invocation& asked,
                                                  const std::string& directory, int& exit_status);
 
