--- a/include/acaciasill/decide/advice.h
+++ b/include/acaciasill/decide/advice.h
@@ -27,9 +27,11 @@
 // adjust does so for the organisations of a gate.
 void reduce_excess(caller_excess& excess);
 
-// Milliseconds after which a refused caller should come back: 100 at no excess, in proportion to
-// it up to 2000, with jitter of half either way.
-std::uint32_t retry_after_ms(const caller_excess& excess, support::random_source& random);
+// Milliseconds after which a refused caller should come back: 100 at no excess, growing with it up
+// to 2000, with jitter of half either way. The growth is in proportion to the rank of the call's
+// priority class, so that the most important calls come back soon whatever the rest does.
+std::uint32_t retry_after_ms(const caller_excess& excess, std::uint8_t rank,
+                             support::random_source& random);
 
 } // namespace acaciasill::decide
 
--- a/include/acaciasill/decide/gate.h
+++ b/include/acaciasill/decide/gate.h
@@ -37,7 +37,7 @@
   // The most calls that may wait.
   std::uint32_t queue_places = 64;
   // The part of the admitted calls that one step of recovery adds.
-  double threshold_step = 0.05;
+  double threshold_step = 0.1;
   // The part of queue_target below which the upstream recovers; between the two nothing opens.
   double exit_part = 0.5;
 
--- a/lib/decide/advice.cpp
+++ b/lib/decide/advice.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr auto relaxed = std::memory_order_relaxed;
+constexpr std::uint8_t largest_rank = 7;
 constexpr double shortest_ms = 100.0;
 constexpr double longest_ms = 2000.0;
 // In each period the excess falls by 1 / 2^4 and a constant.
@@ -37,8 +38,10 @@
   excess.hundredths.store(std::max(present, reduced), relaxed);
 }
 
-std::uint32_t retry_after_ms(const caller_excess& excess, support::random_source& random) {
-  const double part = static_cast<double>(excess.hundredths.load(relaxed)) / 100.0;
+std::uint32_t retry_after_ms(const caller_excess& excess, std::uint8_t rank,
+                             support::random_source& random) {
+  const double importance = std::min(rank, largest_rank) / static_cast<double>(largest_rank);
+  const double part = importance * excess.hundredths.load(relaxed) / 100.0;
   const double middle = std::min(longest_ms, shortest_ms * (1.0 + part));
   return static_cast<std::uint32_t>(middle * (0.5 + support::uniform_unit(random)));
 }
--- a/lib/decide/gate.cpp
+++ b/lib/decide/gate.cpp
@@ -98,7 +98,7 @@
       code = support::result_code::share_exceeded;
     }
   }
-  return {admission::refuse, code, retry_after_ms(counters.excess, random),
+  return {admission::refuse, code, retry_after_ms(counters.excess, rank_of(request.level), random),
           reply_threshold(state, request)};
 }
 
--- /dev/null
+++ b/unittests/decide/advice_test.cpp
@@ -0,0 +1,27 @@
+#include "acaciasill/decide/advice.h"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciasill;
+using namespace acaciasill::decide;
+
+TEST_CASE("advice grows with the excess, less for important calls, and falls again") {
+  support::random_source random(1);
+  caller_excess excess;
+  CHECK(retry_after_ms(excess, 7, random) < 150);
+  note_admitted(excess);
+  for (int call = 0; call < 10; ++call) {
+    note_refused(excess);
+  }
+  reduce_excess(excess);
+  CHECK(excess.hundredths == 1000);
+  for (int draw = 0; draw < 20; ++draw) {
+    CHECK(retry_after_ms(excess, 0, random) < 150);
+    CHECK(retry_after_ms(excess, 7, random) >= 550);
+    CHECK(retry_after_ms(excess, 7, random) < 1650);
+  }
+  for (int period = 0; period < 100; ++period) {
+    reduce_excess(excess);
+  }
+  CHECK(excess.hundredths == 0);
+}
--- a/unittests/decide/overload_loop.cpp
+++ b/unittests/decide/overload_loop.cpp
@@ -179,7 +179,7 @@
       shed_at_entry(all.thresholds, 0, request.facts.organisation, request.facts.level, all.now)) {
     auto& excess = all.excess[request.facts.organisation];
     note_refused(excess);
-    request.retry_after_ms = retry_after_ms(excess, all.random);
+    request.retry_after_ms = retry_after_ms(excess, request.rank, all.random);
     retry_or_fail(all, request);
     return;
   }
--- a/unittests/decide/overload_loop.h
+++ b/unittests/decide/overload_loop.h
@@ -28,7 +28,7 @@
   double exit_part = 0.5;
   bool passthrough = false;
   bool entry_sheds = true;
-  double threshold_step = 0.05;
+  double threshold_step = 0.1;
   duration queue_bound = milliseconds(50);
   duration queue_target = milliseconds(5);
   std::uint32_t queue_places = 64;
