--- a/benchmarks/cases/overload.py
+++ b/benchmarks/cases/overload.py
@@ -69,13 +69,14 @@
 def overload_goodput(processes, options):
     protect = goodput_run(processes, "protect", options)
     passthrough = goodput_run(processes, "passthrough", options)
-    value = {"twice": ratio(protect["twice"], protect["capacity"]),
-             "ten": ratio(protect["ten"], protect["capacity"])}
-    baseline = {"capacity_per_s": protect["capacity"],
+    # The better of the two modes at capacity, so that shedding too early does not flatter.
+    capacity = max(protect["capacity"], passthrough["capacity"])
+    value = {"twice": ratio(protect["twice"], capacity), "ten": ratio(protect["ten"], capacity)}
+    baseline = {"capacity_per_s": capacity,
+                "protect_capacity_per_s": protect["capacity"],
                 "nominal_per_s": chain_capacity(chain()) * options.load,
-                "passthrough_capacity_per_s": passthrough["capacity"],
-                "passthrough_twice": ratio(passthrough["twice"], passthrough["capacity"]),
-                "passthrough_ten": ratio(passthrough["ten"], passthrough["capacity"])}
+                "passthrough_twice": ratio(passthrough["twice"], capacity),
+                "passthrough_ten": ratio(passthrough["ten"], capacity)}
     bound = {"twice": 0.95, "ten": 0.90}
     good = all(value[name] >= bound[name] for name in bound)
     return verdict(value, "ratio of goodput", bound, baseline, good)
