--- a/include/acaciasill/daemon/upstream_calls.h
+++ b/include/acaciasill/daemon/upstream_calls.h
@@ -19,7 +19,7 @@
 namespace acaciasill::daemon {
 
 class call_metrics;
-class key_claims;
+struct key_claims;
 struct request_thread;
 
 using upstream_reply = std::function<void(wire::call_reply)>;
@@ -32,8 +32,6 @@
   // Claims of idempotency keys; none without a platform.
   key_claims* claims = nullptr;
   operating_mode mode = operating_mode::protect;
-  // Signs the contexts that the backend server passes back.
-  std::string secret;
 };
 
 // Serves calls for the local backend server. serve and cancel run on the thread that they name; the
