Open thresholds of organisations whose demand fits their part

A rise started from the least important level that was still offered, also for an organisation within its guarantee; its callers' entry followed the threshold, so that both held each other closed. Such a threshold now rises from where it is.

--- a/include/acaciasill/decide/level.h
+++ b/include/acaciasill/decide/level.h
@@ -67,10 +67,17 @@
   return (threshold & fresh_bit) != 0 ? threshold | hash_mask : threshold | fresh_bit;
 }
 
+// The half of a class, held or fresh, that a level belongs to; within it levels are spread evenly.
+constexpr unsigned half_class_of(level request) {
+  return request >> hash_bits;
+}
+
 // Histograms of levels use equal buckets: a class's held and fresh halves have four each.
 inline constexpr unsigned bucket_shift = hash_bits - 2;
 inline constexpr unsigned bucket_count = 1U << (32 - bucket_shift);
 
+inline constexpr unsigned buckets_in_half_class = 1U << (hash_bits - bucket_shift);
+
 // The histogram's bucket of a level.
 constexpr unsigned bucket_of(level request) {
   return request >> bucket_shift;
--- a/lib/decide/share_allocation.cpp
+++ b/lib/decide/share_allocation.cpp
@@ -121,9 +121,11 @@
     const auto& demand = controller.demand[claim.organisation];
     auto& threshold = state.organisations[claim.organisation].threshold;
     const auto wanted = threshold_for(demand, claim.granted);
-    // A rise starts from what callers still offer, so that the thresholds of several upstreams
-    // stay together and none runs ahead of what it has seen.
-    const auto before = std::min<double>(threshold.load(std::memory_order_relaxed), demand.highest);
+    // Where demand exceeds the part, a rise starts from what callers still offer, so that the
+    // thresholds of several upstreams stay together and none runs ahead of what it has seen.
+    const double present = threshold.load(std::memory_order_relaxed);
+    const double before =
+        wanted == accept_all ? present : std::min<double>(present, demand.highest);
     const auto most = raise_threshold(demand, static_cast<level>(before), growth * rise_levels);
     threshold.store(std::min(wanted, most), std::memory_order_relaxed);
   }
--- a/lib/decide/threshold_controller.cpp
+++ b/lib/decide/threshold_controller.cpp
@@ -16,6 +16,9 @@
 constexpr double closed_memory = 0.995;
 // The part of a new period in the least important level offered, where that falls.
 constexpr double highest_smoothing = 0.05;
+// A smaller open part of a half class tells nothing certain of the whole.
+constexpr double least_open_part = 1.0 / 64.0;
+constexpr double least_edge_weight = 0.25;
 // Demand below this many calls in a period counts as none.
 constexpr double negligible = 0.01;
 // The part of the calls of a period whose drop from the queue counts as overload.
@@ -43,6 +46,20 @@
   remembered *= closed_memory;
 }
 
+// Takes in what came of the half class that the threshold cuts through: its open part stands for
+// the whole, since levels are spread evenly in it.
+void smooth_edge(organisation_demand& demand, level threshold, double counted) {
+  const double open = ((threshold & hash_mask) + 1.0) / (hash_mask + 1.0);
+  const double weight = smoothing * std::max(open, least_edge_weight);
+  const auto first = half_class_of(threshold) * buckets_in_half_class;
+  for (unsigned bucket = first; bucket < first + buckets_in_half_class; ++bucket) {
+    const double before = demand.offered[bucket];
+    const double present = counted / std::max(open, least_open_part) / buckets_in_half_class;
+    demand.offered[bucket] += weight * (present - before);
+    demand.total += demand.offered[bucket] - before;
+  }
+}
+
 void smooth_highest(organisation_counters& counters, organisation_demand& demand, bool arrived) {
   const double seen = counters.highest.exchange(0, relaxed);
   const double threshold = counters.threshold.load(relaxed);
@@ -57,16 +74,24 @@
 void collect_demand(organisation_counters& counters, organisation_demand& demand) {
   const auto arrivals = counters.arrivals.exchange(0, relaxed);
   smooth_highest(counters, demand, arrivals > 0);
-  const auto last_open = bucket_of(counters.threshold.load(relaxed));
+  const auto threshold = counters.threshold.load(relaxed);
+  const auto edge = half_class_of(threshold);
   demand.total = 0.0;
+  double in_edge = 0.0;
   for (unsigned bucket = 0; bucket < bucket_count; ++bucket) {
     // Most buckets are empty, and a read costs far less than an exchange.
     auto& offered = counters.offered[bucket];
     const bool any = arrivals > 0 && offered.load(relaxed) > 0;
     const std::uint32_t counted = any ? offered.exchange(0, relaxed) : 0;
-    smooth_bucket(demand.offered[bucket], counted, bucket > last_open);
+    const auto half_class = bucket / buckets_in_half_class;
+    if (half_class == edge) {
+      in_edge += counted;
+    } else {
+      smooth_bucket(demand.offered[bucket], counted, half_class > edge);
+    }
     demand.total += demand.offered[bucket];
   }
+  smooth_edge(demand, threshold, in_edge);
 }
 
 void collect(gate& state, threshold_controller& controller) {
--- a/unittests/decide/overload_loop.cpp
+++ b/unittests/decide/overload_loop.cpp
@@ -200,6 +200,7 @@
   request->given_up = all.now + all.settings.client_patience;
   bin(all).offered += 1;
   bin(all).offered_of_rank[request->rank] += 1;
+  bin(all).offered_of_organisation[request->facts.organisation] += 1;
   all.requests.push_back(std::move(request));
   attempt(all, *all.requests.back());
   const double load = under_pressure(all) ? all.settings.demand : all.settings.calm;
@@ -324,6 +325,7 @@
     sum.amplification += one.deep_attempts;
     for (std::size_t organisation = 0; organisation < organisation_count; ++organisation) {
       sum.organisations[organisation] += one.useful_of_organisation[organisation];
+      sum.success[organisation] += one.offered_of_organisation[organisation];
     }
   }
   sum.deviation = std::sqrt(square / 40.0);
@@ -331,7 +333,9 @@
   sum.amplification /= std::max(1.0, useful);
   sum.entry_attempts /= std::max(1.0, offered);
   sum.important /= std::max(1.0, important);
-  for (auto& part : sum.organisations) {
+  for (std::size_t organisation = 0; organisation < organisation_count; ++organisation) {
+    auto& part = sum.organisations[organisation];
+    sum.success[organisation] = part / std::max(1.0, sum.success[organisation]);
     part /= std::max(1.0, useful);
   }
   return sum;
--- a/unittests/decide/overload_loop.h
+++ b/unittests/decide/overload_loop.h
@@ -81,6 +81,7 @@
   std::array<double, 8> useful_of_rank{};
   std::array<double, 8> offered_of_rank{};
   std::array<double, organisation_count> useful_of_organisation{};
+  std::array<double, organisation_count> offered_of_organisation{};
   double wasted = 0; // Calls that the front ran and the deep service refused or finished too late.
   double deep_attempts = 0;
   double entry_attempts = 0;
@@ -130,7 +131,8 @@
   double important = 0; // Success of rank 0 under pressure.
   double entry_attempts = 0; // Attempts at the entry for each offered request, under pressure.
   double amplification = 0;  // Attempts at the deep service for each useful one under pressure.
-  std::array<double, organisation_count> organisations{};
+  std::array<double, organisation_count> organisations{}; // Parts of the goodput under pressure.
+  std::array<double, organisation_count> success{};       // Useful ones of those offered.
 };
 loop_summary summarise(const loop& all);
 
--- a/unittests/decide/overload_test.cpp
+++ b/unittests/decide/overload_test.cpp
@@ -34,3 +34,23 @@
   CHECK(sum.under >= 0.08);
   CHECK(sum.recovery_s <= 2.0);
 }
+
+TEST_CASE("small organisations within their shares are not touched by a surge of the largest") {
+  loop all({.demand = 10.0, .client_retries = 4});
+  all.parts = {0.984, 0.008,
+               0.008}; // Each small one offers 0.08 of capacity and is guaranteed 0.1.
+  run(all);
+  const auto sum = summarise(all);
+  CHECK(sum.success[1] >= 0.95);
+  CHECK(sum.success[2] >= 0.95);
+  CHECK(sum.under >= 0.90);
+}
+
+TEST_CASE("the largest organisation keeps its share while all the small ones surge") {
+  loop all({.demand = 10.0, .client_retries = 4});
+  all.parts = {0.045, 0.4775, 0.4775}; // The largest offers 0.45 of capacity, guaranteed 0.5.
+  run(all);
+  const auto sum = summarise(all);
+  CHECK(sum.success[0] >= 0.95);
+  CHECK(sum.under >= 0.90);
+}
