--- a/lib/control/message_bag.cpp
+++ b/lib/control/message_bag.cpp
@@ -84,7 +84,7 @@
 }
 
 std::string message_bag::add(node_settings settings) {
-  const std::string address = settings.gossip_address;
+  std::string address = settings.gossip_address;
   nodes_[address].settings = std::move(settings);
   start(address);
   return address;
@@ -100,7 +100,7 @@
   settings.gossip_address = "127.0.0.1:" + std::to_string(20000 + nodes_.size());
   settings.call_address = "127.0.0.1:" + std::to_string(40000 + nodes_.size());
   settings.seeds = seeds;
-  const std::string address = add(std::move(settings));
+  std::string address = add(std::move(settings));
   give(address, services_configured{{{"stock", {"stock"}}}});
   give(address, backend_announced{"stock", 100, 750, "127.0.0.1:9000"});
   return address;
--- a/lib/control/probing.cpp
+++ b/lib/control/probing.cpp
@@ -16,7 +16,7 @@
   node_state& state = context.state;
   for (int rounds = 0; rounds < 2; ++rounds) {
     while (!state.probes.round.empty()) {
-      const std::string address = state.probes.round.back();
+      std::string address = state.probes.round.back();
       state.probes.round.pop_back();
       const record* entry = find_record(state, address);
       if (entry != nullptr && is_running(entry->fields)) {
--- a/tools/acaciasill-replay/request_lines.cpp
+++ b/tools/acaciasill-replay/request_lines.cpp
@@ -48,7 +48,7 @@
     output_ = {{"at_ms", context.at_ms}, {"request_path", what}};
     now_ = context.bag.now();
     random_ = &context.random;
-    const absl::Status status = apply_named(what, line);
+    absl::Status status = apply_named(what, line);
     if (status.ok()) {
       context.output << output_.dump() << '\n';
     }
--- a/unittests/control/example_two_nodes_test.cpp
+++ b/unittests/control/example_two_nodes_test.cpp
@@ -31,7 +31,6 @@
   std::map<std::string, cluster_view> views;
   std::priority_queue<queued_event> events;
 
-  // Every action is one of a few kinds; a driver that leaves one out loses what it stands for.
   void take(const std::string& from, const action& next) {
     if (const auto* sent = std::get_if<send_datagram>(&next)) {
       push(now + support::milliseconds(1), sent->to, peer_received{from, sent->message});
