Take a socket out of the event loop before libcurl closes it

Cause: under a load of twice the capacity a daemon ended with 'assign: File exists'. A handler held the object of a closed socket while libcurl opened the next one under the same number, so that epoll met it twice. Change: release the descriptor in the close callback. Ruled out: releasing in the destructor, which runs too late. Before: the new test fails (a connection is lost); after: it passes. Conclusion: descriptors are released where libcurl gives them up.

--- a/lib/net/backend_client.cpp
+++ b/lib/net/backend_client.cpp
@@ -178,7 +178,11 @@
   struct watched_socket {
     explicit watched_socket(asio::io_context& context, curl_socket_t native)
         : descriptor(context, native) {}
-    ~watched_socket() { static_cast<void>(descriptor.release()); }
+    ~watched_socket() {
+      if (descriptor.is_open()) {
+        static_cast<void>(descriptor.release());
+      }
+    }
     watched_socket(const watched_socket&) = delete;
     watched_socket& operator=(const watched_socket&) = delete;
     asio::posix::stream_descriptor descriptor;
@@ -223,10 +227,20 @@
   }
 
   static int on_close(void* user, curl_socket_t native) {
-    static_cast<implementation*>(user)->sockets_.erase(native);
+    static_cast<implementation*>(user)->forget_socket(native);
     return ::close(native);
   }
 
+  // Takes a socket out of the event loop before it is closed. A handler that runs may still hold
+  // the object, and the next socket may get the same number at once.
+  void forget_socket(curl_socket_t native) {
+    if (const auto found = sockets_.find(native); found != sockets_.end()) {
+      found->second->wanted = 0;
+      static_cast<void>(found->second->descriptor.release());
+      sockets_.erase(found);
+    }
+  }
+
   void watch(curl_socket_t native, int what) {
     if (what == CURL_POLL_REMOVE) {
       // The connection usually goes on to the next exchange, so that its socket stays registered
--- a/unittests/net/backend_client_test.cpp
+++ b/unittests/net/backend_client_test.cpp
@@ -116,3 +116,27 @@
   REQUIRE(result.has_value());
   CHECK(result->end == backend_end::cancelled);
 }
+
+TEST_CASE("a socket that gets the number of one that was just closed is watched like any other") {
+  asio::io_context context;
+  dropping_server server(context);
+  server.requests = 1; // From now on every request ends its connection.
+  // With one connection at a time, libcurl opens the next one while it closes the last.
+  backend_client client(context, 1, 1000);
+  backend_request request;
+  request.url = server.url();
+  request.method = "GET";
+  request.repeatable = false;
+  constexpr int exchanges = 20;
+  int ended = 0;
+  for (int i = 0; i < exchanges; ++i) {
+    client.send(request, [&ended](const backend_response& response) {
+      CHECK(response.end == backend_end::broken);
+      ++ended;
+    });
+  }
+  while (ended < exchanges) {
+    context.run_one();
+  }
+  CHECK(server.requests == 1 + exchanges);
+}
