--- a/include/acaciasill/decide/threshold_controller.h
+++ b/include/acaciasill/decide/threshold_controller.h
@@ -43,6 +43,11 @@
   bool open = true;
   // Calls finished in one period, smoothed.
   double finished = 0.0;
+  // Calls that entered or were dropped from the queue in one period, and the microseconds that they
+  // had waited, both smoothed. At a few calls a period one alone says nothing about the upstream.
+  double entered = 0.0;
+  double dropped = 0.0;
+  double delay_us = 0.0;
   // Calls that waited at the last adjustment.
   double waiting_before = 0.0;
   // Adjustments in a row that found no queueing.
--- a/lib/decide/threshold_controller.cpp
+++ b/lib/decide/threshold_controller.cpp
@@ -20,6 +20,10 @@
 constexpr double negligible = 0.01;
 // The part of the calls of a period whose drop from the queue counts as overload.
 constexpr double tolerated_drops = 0.02;
+// Dropped calls in a period, smoothed, below which drops are chance.
+constexpr double negligible_drops = 0.2;
+// The largest part of the queue's bound that the delay is held at.
+constexpr double largest_target_part = 0.5;
 // The part of the waiting calls that a tightened budget leaves room to drain in one period.
 constexpr double drain_part = 0.25;
 // The gains of the queue's control, in calls of a period for each waiting call.
@@ -85,31 +89,43 @@
   }
 }
 
-// What the upstream did in one period.
-struct period_figures {
-  double finished = 0.0;
-  double dropped = 0.0;
-  double entered = 0.0;
-  // Mean over the calls that entered.
-  support::duration delay{};
-};
-
-period_figures take_figures(gate& state) {
-  period_figures figures;
-  figures.finished = state.finished.exchange(0, relaxed);
-  figures.dropped = state.dropped.exchange(0, relaxed);
-  figures.entered = state.started.exchange(0, relaxed) + figures.dropped;
-  const auto delay = static_cast<double>(state.queue_delay_us.exchange(0, relaxed));
-  const auto mean = delay / std::max(1.0, figures.entered);
-  figures.delay = support::microseconds(static_cast<std::int64_t>(mean));
-  return figures;
+void smooth(double& remembered, double counted) {
+  remembered += smoothing * (counted - remembered);
+}
+
+// Takes in what the upstream did in one period; returns the calls that it finished.
+double take_figures(gate& state, threshold_controller& controller) {
+  const double finished = state.finished.exchange(0, relaxed);
+  const double dropped = state.dropped.exchange(0, relaxed);
+  smooth(controller.finished, finished);
+  smooth(controller.dropped, dropped);
+  smooth(controller.entered, state.started.exchange(0, relaxed) + dropped);
+  smooth(controller.delay_us, static_cast<double>(state.queue_delay_us.exchange(0, relaxed)));
+  return finished;
+}
+
+// The mean queueing delay of late, in microseconds.
+double mean_delay_us(const threshold_controller& controller) {
+  return controller.entered < negligible ? 0.0 : controller.delay_us / controller.entered;
+}
+
+// The queueing delay to hold, in microseconds. Where an upstream has few slots, calls wait for
+// about a service time long before it is full, so that a shorter target would shed at moderate
+// load.
+double target_us(const gate& state, const gate_view& view) {
+  const auto configured = static_cast<double>(
+      std::chrono::duration_cast<support::microseconds>(view.queue_target).count());
+  const auto bound = static_cast<double>(
+      std::chrono::duration_cast<support::microseconds>(view.queue_bound).count());
+  const double service_time = state.service_time_us.load(relaxed);
+  return std::max(configured, std::min(service_time, bound * largest_target_part));
 }
 
 // The calls that wait when the queueing delay is on its target.
-double wanted_queue(const gate_view& view, const threshold_controller& controller) {
-  const double periods = std::chrono::duration<double>(view.queue_target) /
-                         std::chrono::duration<double>(control_period);
-  return controller.finished * periods;
+double wanted_queue(const gate& state, const gate_view& view,
+                    const threshold_controller& controller) {
+  const double period_us = static_cast<double>(support::microseconds(control_period).count());
+  return controller.finished * target_us(state, view) / period_us;
 }
 
 // Closes the thresholds: as much is admitted as is finished, less a part of what waits.
@@ -124,7 +140,7 @@
 // Holds the queue near its wanted length: a proportional and integral control in its velocity form.
 void hold(const gate& state, const gate_view& view, threshold_controller& controller) {
   const double waiting = state.waiting.load(relaxed);
-  const double error = wanted_queue(view, controller) - waiting;
+  const double error = wanted_queue(state, view, controller) - waiting;
   const double change =
       integral_gain * error - proportional_gain * (waiting - controller.waiting_before);
   const double most = controller.budget * view.threshold_step;
@@ -154,17 +170,18 @@
   controller.budget = std::min(raised, std::max(most, controller.budget));
 }
 
-void move_budget(gate& state, const gate_view& view, threshold_controller& controller,
-                 const period_figures& figures) {
-  const bool drops = figures.dropped > 1.0 && figures.dropped > tolerated_drops * figures.entered;
-  const bool overloaded = drops || figures.delay > view.queue_target;
-  const auto exit_delay =
-      std::chrono::duration_cast<support::duration>(view.queue_target * view.exit_part);
+void move_budget(gate& state, const gate_view& view, threshold_controller& controller) {
+  const double target = target_us(state, view);
+  const double delay = mean_delay_us(controller);
+  const bool drops = controller.dropped > tolerated_drops * controller.entered &&
+                     controller.dropped > negligible_drops;
+  const bool overloaded = drops || delay > target;
+  const double exit_delay = target * view.exit_part;
   const double waiting = state.waiting.load(relaxed);
   state.overloaded.store(overloaded, relaxed);
   if (overloaded && controller.open) {
     close(state, controller);
-  } else if (!controller.open && (waiting > 0.0 || figures.delay > exit_delay)) {
+  } else if (!controller.open && (waiting > 0.0 || delay > exit_delay)) {
     hold(state, view, controller);
   } else if (!controller.open) {
     loosen(state, view, controller);
@@ -176,14 +193,13 @@
 
 void adjust(gate& state, const gate_view& view, threshold_controller& controller) {
   collect(state, controller);
-  const auto figures = take_figures(state);
-  controller.finished += smoothing * (figures.finished - controller.finished);
-  if (figures.finished == 0.0 && state.in_flight.load(relaxed) == 0) {
+  const double finished = take_figures(state, controller);
+  if (finished == 0.0 && state.in_flight.load(relaxed) == 0) {
     // A service time that nobody confirms must not keep calls out.
     const auto remembered = state.service_time_us.load(relaxed);
     state.service_time_us.store(remembered - remembered / 16, relaxed);
   }
-  move_budget(state, view, controller, figures);
+  move_budget(state, view, controller);
   if (controller.open) {
     for (auto& counters : state.organisations) {
       counters.threshold.store(accept_all, relaxed);
