--- a/include/acaciasill/daemon/key_claims.h
+++ b/include/acaciasill/daemon/key_claims.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASILL_DAEMON_KEY_CLAIMS_H
 #define ACACIASILL_DAEMON_KEY_CLAIMS_H
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -15,9 +16,7 @@
 // The key that a call wants to run under.
 struct claim_question {
   std::string organisation;
-  std::string service;
   std::string key;
-  wire::request_id id;
   support::time_point deadline;
 
   bool operator==(const claim_question&) const = default;
@@ -26,16 +25,21 @@
 // Whether the call may run. A permission ends at valid_until by the local monotonic clock, which
 // the caller checks at the last step, since the process may have been paused in between.
 struct claim_verdict {
+  // Names the claim in its settlement.
+  std::uint64_t claim = 0;
   bool may_run = false;
   support::result_code code = support::result_code::claim_unavailable;
+  // What the caller is told where the call may not run: the end of the key's earlier call, or
+  // unknown while that may still be running.
+  wire::outcome outcome = wire::outcome::not_run;
   support::time_point valid_until;
 
   bool operator==(const claim_verdict&) const = default;
 };
 
-// How a call that ran under a claim ended.
+// How a call that was permitted to run ended; not_run only where it certainly did not run.
 struct claim_settlement {
-  claim_question claim;
+  std::uint64_t claim = 0;
   wire::outcome outcome = wire::outcome::unknown;
 
   bool operator==(const claim_settlement&) const = default;
--- /dev/null
+++ b/lib/daemon/claim_loop.cpp
@@ -0,0 +1,162 @@
+#include "acaciasill/daemon/claim_loop.h"
+
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <asio/post.hpp>
+
+namespace acaciasill::daemon {
+namespace {
+
+using support::result_code;
+
+control::run_outcome to_run_outcome(wire::outcome outcome) {
+  switch (outcome) {
+  case wire::outcome::completed:
+    return control::run_outcome::completed;
+  case wire::outcome::not_run:
+    return control::run_outcome::not_run;
+  case wire::outcome::failed:
+    return control::run_outcome::failed;
+  case wire::outcome::unknown:
+    return control::run_outcome::unknown;
+  }
+  return control::run_outcome::unknown;
+}
+
+wire::outcome to_outcome(control::run_outcome outcome) {
+  switch (outcome) {
+  case control::run_outcome::completed:
+    return wire::outcome::completed;
+  case control::run_outcome::failed:
+    return wire::outcome::failed;
+  case control::run_outcome::not_run:
+    return wire::outcome::not_run;
+  case control::run_outcome::unknown:
+    return wire::outcome::unknown;
+  }
+  return wire::outcome::unknown;
+}
+
+// What the caller of a refused claim is told about its key.
+wire::outcome outcome_of(const control::claim_refused& refusal) {
+  switch (refusal.code) {
+  case result_code::key_already_used:
+    return refusal.earlier ? to_outcome(*refusal.earlier) : wire::outcome::unknown;
+  case result_code::duplicate_in_progress:
+  case result_code::outcome_unknown:
+    return wire::outcome::unknown;
+  default:
+    return wire::outcome::not_run;
+  }
+}
+
+} // namespace
+
+claim_loop::claim_loop(asio::io_context& context, const std::string& holder, std::uint64_t seed,
+                       std::function<void(const control::platform_request&)> ask_platform)
+    : context_(context), ask_platform_(std::move(ask_platform)), random_(seed), timer_(context) {
+  control::claim_settings settings;
+  settings.holder = holder;
+  claims_ = control::make_claims(settings);
+}
+
+key_claims claim_loop::operations() {
+  return {[this](const claim_question& question, std::function<void(claim_verdict)> done) {
+            asio::post(context_,
+                       [this, question, done = std::move(done)] { begin(question, done); });
+          },
+          [this](const claim_settlement& settlement) {
+            asio::post(context_, [this, settlement] { settle(settlement); });
+          }};
+}
+
+bool claim_loop::owns_ticket(std::uint64_t ticket) {
+  return ticket >= control::claim_settings{}.first_ticket;
+}
+
+void claim_loop::take_answer(const control::platform_answer& answer) {
+  handle(answer);
+}
+
+void claim_loop::ask(const std::string& organisation, const std::string& key,
+                     std::function<void(const control::key_answer&)> done) {
+  const auto query = ++last_number_;
+  queries_.emplace(query, std::move(done));
+  handle(control::key_asked{query, organisation, key});
+}
+
+void claim_loop::begin(const claim_question& question, std::function<void(claim_verdict)> done) {
+  const auto number = ++last_number_;
+  wanted_.emplace(number, wanted_claim{question, std::move(done)});
+  handle(control::claim_wanted{number, question.organisation, question.key, question.deadline});
+}
+
+void claim_loop::settle(const claim_settlement& settlement) {
+  handle(control::run_ended{settlement.claim, to_run_outcome(settlement.outcome)});
+}
+
+void claim_loop::handle(const control::claim_event& input) {
+  std::vector<control::claim_action> actions;
+  control::step(*claims_, input, support::monotonic_now(), random_, actions);
+  for (const auto& action : actions) {
+    std::visit([this](const auto& one) { perform(one); }, action);
+  }
+}
+
+void claim_loop::perform(const control::platform_request& action) {
+  ask_platform_(action);
+}
+
+void claim_loop::perform(const control::claim_granted& action) {
+  const auto found = wanted_.find(action.call);
+  if (found == wanted_.end()) {
+    return;
+  }
+  const auto wanted = std::move(found->second);
+  wanted_.erase(found);
+  claim_verdict verdict;
+  verdict.claim = action.call;
+  verdict.may_run = control::begin_run(*claims_, action.call, support::monotonic_now());
+  verdict.valid_until = wanted.question.deadline;
+  if (!verdict.may_run) {
+    verdict.code = result_code::deadline_exceeded;
+    handle(control::run_ended{action.call, control::run_outcome::not_run});
+  }
+  wanted.done(verdict);
+}
+
+void claim_loop::perform(const control::claim_refused& action) {
+  const auto found = wanted_.find(action.call);
+  if (found == wanted_.end()) {
+    return;
+  }
+  const auto wanted = std::move(found->second);
+  wanted_.erase(found);
+  claim_verdict verdict;
+  verdict.code = action.code;
+  verdict.outcome = outcome_of(action);
+  wanted.done(verdict);
+}
+
+void claim_loop::perform(const control::claim_settled& /*action*/) {}
+
+void claim_loop::perform(const control::key_answer& action) {
+  if (const auto found = queries_.find(action.query); found != queries_.end()) {
+    const auto done = std::move(found->second);
+    queries_.erase(found);
+    done(action);
+  }
+}
+
+void claim_loop::perform(const control::set_claim_timer& action) {
+  timer_.expires_at(action.at);
+  timer_.async_wait([this](asio::error_code error) {
+    if (!error) {
+      handle(control::claim_timer_fired{});
+    }
+  });
+}
+
+} // namespace acaciasill::daemon
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -17,6 +17,7 @@
 #include "acaciasill/board/call_board.h"
 #include "acaciasill/daemon/admin_pages.h"
 #include "acaciasill/daemon/call_metrics.h"
+#include "acaciasill/daemon/claim_loop.h"
 #include "acaciasill/daemon/control_loop.h"
 #include "acaciasill/daemon/entry_calls.h"
 #include "acaciasill/daemon/request_thread.h"
@@ -143,8 +144,17 @@
                                                               settings_.max_body_bytes);
     }
     peer_calls_.resize(threads_.size());
+    if (!settings_.platform_url.empty()) {
+      // A restarted daemon is another holder, which the random part assures.
+      const auto holder = settings_.name + "-" + std::to_string(random_seed());
+      claims_ = std::make_unique<claim_loop>(
+          control_context_, holder, random_seed(),
+          [this](const control::platform_request& request) { ask_platform(request); });
+      claim_operations_ = claims_->operations();
+    }
     upstream_ = std::make_unique<upstream_calls>(
-        upstream_environment{&board_, thread_pointers(), &metrics_, nullptr, settings_.mode});
+        upstream_environment{&board_, thread_pointers(), &metrics_,
+                             claims_ ? &claim_operations_ : nullptr, settings_.mode});
     entry_ = std::make_unique<entry_calls>(entry_environment{&board_, thread_pointers(), &metrics_,
                                                              peers_.get(), upstream_.get(),
                                                              settings_.mode, call_address_});
@@ -178,6 +188,14 @@
     return absl::OkStatus();
   }
 
+  void take_platform_answer(const control::platform_answer& answer) {
+    if (claim_loop::owns_ticket(answer.ticket)) {
+      claims_->take_answer(answer);
+      return;
+    }
+    control_->handle(answer);
+  }
+
   void make_control() {
     control::node_settings node;
     node.name = settings_.name;
@@ -477,14 +495,17 @@
   std::vector<peer_call_table> peer_calls_;
   std::unique_ptr<net::peer_listener> listener_;
   std::unique_ptr<net::peer_pool> peers_;
+  std::unique_ptr<claim_loop> claims_;
+  key_claims claim_operations_;
   std::unique_ptr<upstream_calls> upstream_;
   std::unique_ptr<entry_calls> entry_;
   std::shared_ptr<net::gossip_socket> gossip_;
   std::unique_ptr<control_loop> control_;
   std::unique_ptr<backend_registry> registry_;
-  std::unique_ptr<net::platform_client> platform_;
   admin_environment admin_;
   std::vector<std::unique_ptr<net::http_server>> servers_;
+  // Declared after all that its answers reach, so that it is destroyed first.
+  std::unique_ptr<net::platform_client> platform_;
   std::optional<support::time_point> stop_deadline_;
   std::optional<std::uint64_t> reported_in_flight_;
 };
--- a/lib/daemon/entry_answer.cpp
+++ b/lib/daemon/entry_answer.cpp
@@ -45,7 +45,7 @@
   answer.headers = std::move(reply.headers);
   answer.body = std::move(reply.body);
   const bool answered =
-      reply.outcome == wire::outcome::completed ||
+      (reply.outcome == wire::outcome::completed && reply.code == result_code::ok) ||
       (reply.outcome == wire::outcome::failed && reply.code == result_code::backend_failed);
   if (!answered) {
     const auto& row = support::describe(reply.code);
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -32,7 +32,8 @@
   support::time_point arrived;
   support::time_point started;
   call_stage stage = call_stage::waiting;
-  bool claimed = false;
+  // The claim under which the call runs.
+  std::optional<std::uint64_t> claim;
   std::uint64_t exchange = 0;
   std::optional<decide::parent_ref> parent;
 };
@@ -40,8 +41,7 @@
 using call_table = std::unordered_map<std::uint64_t, std::shared_ptr<running_call>>;
 
 claim_question question_of(const running_call& call) {
-  return {call.request.organisation, call.request.service, call.request.idempotency_key,
-          call.request.id, call.facts.deadline};
+  return {call.request.organisation, call.request.idempotency_key, call.facts.deadline};
 }
 
 } // namespace
@@ -166,12 +166,16 @@
       refuse(home, call, result_code::deadline_exceeded, 0);
       return;
     }
-    const bool needs_claim = !call.request.idempotent && !call.request.idempotency_key.empty() &&
-                             environment_.claims != nullptr;
-    if (!needs_claim) {
+    if (call.request.idempotent || call.request.idempotency_key.empty()) {
       run(home, call);
       return;
     }
+    if (environment_.claims == nullptr) {
+      // Without a platform nobody can tell whether the key was used elsewhere.
+      give_slot_back(call);
+      refuse(home, call, result_code::claim_unavailable, 0);
+      return;
+    }
     call.stage = call_stage::claiming;
     environment_.claims->claim(
         question_of(call), [this, &home, id = call.id](claim_verdict verdict) {
@@ -181,24 +185,24 @@
 
   void on_claim(request_thread& home, std::uint64_t id, const claim_verdict& verdict) {
     const auto found = calls_[home.index].find(id);
-    if (found == calls_[home.index].end()) {
-      return;
-    }
+    assert(found != calls_[home.index].end() && "a call waits for the answer to its claim");
     auto& call = *found->second;
     if (!verdict.may_run) {
       give_slot_back(call);
-      refuse(home, call, verdict.code, 0);
+      auto reply = refusal_of(call, verdict.code, 0);
+      reply.outcome = verdict.outcome;
+      finish(home, call, std::move(reply));
       return;
     }
-    call.claimed = true;
     // A permission alone is not enough: the process may have been paused since it was given.
     const auto now = support::monotonic_now();
     if (now >= verdict.valid_until || now >= call.facts.deadline) {
       give_slot_back(call);
-      environment_.claims->settle({question_of(call), wire::outcome::not_run});
+      environment_.claims->settle({verdict.claim, wire::outcome::not_run});
       refuse(home, call, result_code::deadline_exceeded, 0);
       return;
     }
+    call.claim = verdict.claim;
     run(home, call);
   }
 
@@ -231,8 +235,8 @@
       reply.overloaded_below = summary.overloaded_below;
     }
     release_after(call, reply);
-    if (call.claimed) {
-      environment_.claims->settle({question_of(call), reply.outcome});
+    if (call.claim) {
+      environment_.claims->settle({*call.claim, reply.outcome});
     }
     finish(home, call, std::move(reply));
   }
@@ -263,6 +267,11 @@
   // Answers a call that has not run.
   void refuse(request_thread& home, running_call& call, result_code code,
               std::uint32_t retry_after_ms) {
+    finish(home, call, refusal_of(call, code, retry_after_ms));
+  }
+
+  static wire::call_reply refusal_of(const running_call& call, result_code code,
+                                     std::uint32_t retry_after_ms) {
     wire::call_reply reply;
     reply.outcome = wire::outcome::not_run;
     reply.code = code;
@@ -270,7 +279,7 @@
     reply.unused_attempts = call.request.lent_attempts;
     reply.threshold = decide::accept_all;
     reply.retry_after_ms = retry_after_ms;
-    finish(home, call, std::move(reply));
+    return reply;
   }
 
   void finish(request_thread& home, running_call& call, wire::call_reply reply) {
