Lend the last attempt down the chain, bound an attempt's time, and count control traffic

Cause: with three minted attempts the third hop held none, so that nobody next to a failing service could retry: 39 of the calls failed after one attempt when a daemon and a server were killed. No metric told the bytes that control spends. Change: loans are rounded up, and a service that calls nobody is lent nothing; an idempotent attempt ends after ten expected service times, at least 300 ms; gauges and counters of the gate and of gossip; keys can be asked about over HTTP. Ruled out: hedged calls, which add load just when there is none to spare.

--- a/include/acaciasill/daemon/admin_pages.h
+++ b/include/acaciasill/daemon/admin_pages.h
@@ -12,6 +12,9 @@
 namespace acaciasill::board {
 struct call_board;
 }
+namespace acaciasill::net {
+struct gossip_counters;
+}
 
 // The pages for operators and the local backend server, beside the calls.
 namespace acaciasill::daemon {
@@ -24,12 +27,16 @@
 struct admin_environment {
   board::call_board* board = nullptr;
   call_metrics* metrics = nullptr;
+  const net::gossip_counters* gossip = nullptr;
   std::vector<request_thread*> threads;
   std::string name;
   std::string data_centre;
   std::function<void(const backend_announcement&)> announce;
   std::function<void()> leave;
   std::function<void(std::function<void(control::node_status, control::cluster_view)>)> ask_status;
+  // What became of an organisation's idempotency key, as JSON.
+  std::function<void(std::string organisation, std::string key, std::function<void(std::string)>)>
+      ask_key;
 };
 
 // Answers one request that is no call. The responder is called once, on the thread that home names.
--- a/include/acaciasill/daemon/claim_loop.h
+++ b/include/acaciasill/daemon/claim_loop.h
@@ -62,6 +62,9 @@
   std::unordered_map<std::uint64_t, std::function<void(const control::key_answer&)>> queries_;
 };
 
+// What is known of a key, as JSON: known, claimed, holder, and the outcome once its call has ended.
+std::string describe_key(const control::key_answer& answer);
+
 } // namespace acaciasill::daemon
 
 #endif
--- a/include/acaciasill/decide/retry.h
+++ b/include/acaciasill/decide/retry.h
@@ -44,8 +44,9 @@
 // Gives one attempt back that was taken out and not sent.
 void restore_attempt(attempt_budget& budget);
 
-// Takes out what the next child call is lent: half of what is held, rounded down, so that the hop
-// next to a failing child keeps an attempt of its own.
+// Takes out what the next child call is lent: half of what is held, rounded up, so that the last
+// attempt goes down to the hop that may be next to the failure. A call to a service that calls
+// nobody is lent nothing, since nobody below could spend it.
 std::uint32_t lend_attempts(attempt_budget& budget);
 
 // Takes back what a child's reply says it did not use, at most what it was lent; returns the part
--- a/lib/daemon/admin_pages.cpp
+++ b/lib/daemon/admin_pages.cpp
@@ -11,6 +11,7 @@
 
 #include "acaciasill/board/call_board.h"
 #include "acaciasill/daemon/call_metrics.h"
+#include "acaciasill/daemon/process_metrics.h"
 #include "acaciasill/daemon/request_thread.h"
 #include "acaciasill/net/call_headers.h"
 
@@ -21,6 +22,7 @@
 using support::result_code;
 
 constexpr std::string_view explain_prefix = "/acaciasill/explain/";
+constexpr std::string_view key_prefix = "/acaciasill/keys/";
 
 net::http_response text_page(std::uint16_t status, std::string body) {
   return {status, {{"content-type", "text/plain; charset=utf-8"}}, std::move(body)};
@@ -43,11 +45,15 @@
   return text_page(200, "ready\n");
 }
 
-net::http_response metrics_page(const call_metrics& metrics) {
+net::http_response metrics_page(const admin_environment& environment) {
   const prometheus::TextSerializer serializer;
+  auto families = environment.metrics->Collect();
+  for (auto& family : collect_process_metrics(*environment.board, *environment.gossip)) {
+    families.push_back(std::move(family));
+  }
   return {200,
           {{"content-type", "text/plain; version=0.0.4; charset=utf-8"}},
-          serializer.Serialize(metrics.Collect())};
+          serializer.Serialize(families)};
 }
 
 nlohmann::json member_json(const control::view_member& member) {
@@ -143,6 +149,22 @@
   return {200, {{"content-type", "application/json"}}, format_trace(records) + "\n"};
 }
 
+void serve_key(const admin_environment& environment, request_thread& home, std::string_view path,
+               net::http_responder respond) {
+  const auto slash = path.find('/');
+  if (slash == std::string_view::npos || slash + 1 == path.size()) {
+    respond(
+        make_error_answer(make_error(result_code::bad_request, "expected keys/ORGANISATION/KEY")));
+    return;
+  }
+  environment.ask_key(std::string(path.substr(0, slash)), std::string(path.substr(slash + 1)),
+                      [&home, respond = std::move(respond)](const std::string& json) {
+                        asio::post(home.context, [respond, json] {
+                          respond({200, {{"content-type", "application/json"}}, json + "\n"});
+                        });
+                      });
+}
+
 net::http_response take_announcement(const admin_environment& environment,
                                      const net::http_request& request) {
   const auto announcement = parse_announcement(request.body);
@@ -167,7 +189,7 @@
     return;
   }
   if (target == "/metrics") {
-    respond(metrics_page(*environment.metrics));
+    respond(metrics_page(environment));
     return;
   }
   if (target == "/acaciasill/status") {
@@ -178,6 +200,10 @@
     respond(explain_page(environment, target.substr(explain_prefix.size())));
     return;
   }
+  if (target.substr(0, key_prefix.size()) == key_prefix) {
+    serve_key(environment, home, target.substr(key_prefix.size()), std::move(respond));
+    return;
+  }
   if (request.method == "POST" && target == "/acaciasill/announce") {
     respond(take_announcement(environment, request));
     return;
--- a/lib/daemon/claim_loop.cpp
+++ b/lib/daemon/claim_loop.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include <asio/post.hpp>
+#include <nlohmann/json.hpp>
 
 namespace acaciasill::daemon {
 namespace {
@@ -159,4 +160,15 @@
   });
 }
 
+std::string describe_key(const control::key_answer& answer) {
+  nlohmann::json json = {{"known", answer.known}, {"claimed", answer.row.has_value()}};
+  if (answer.row) {
+    json["holder"] = answer.row->holder;
+    if (answer.row->outcome) {
+      json["outcome"] = control::outcome_name(*answer.row->outcome);
+    }
+  }
+  return json.dump();
+}
+
 } // namespace acaciasill::daemon
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -281,6 +281,7 @@
     http.port = *port;
     admin_ = {&board_,
               &metrics_,
+              &gossip_->counters(),
               thread_pointers(),
               settings_.name,
               settings_.data_centre,
@@ -290,6 +291,11 @@
                 asio::post(control_context_, [this, callback = std::move(callback)] {
                   callback(control_->status(), control_->view());
                 });
+              },
+              [this](const std::string& organisation, const std::string& key, auto callback) {
+                asio::post(control_context_, [this, organisation, key, callback] {
+                  ask_key(organisation, key, callback);
+                });
               }};
     for (auto& thread : threads_) {
       auto server =
@@ -332,6 +338,16 @@
     serve_admin_page(admin_, home, request, std::move(respond));
   }
 
+  void ask_key(const std::string& organisation, const std::string& key,
+               const std::function<void(std::string)>& done) {
+    if (!claims_) {
+      done(describe_key({}));
+      return;
+    }
+    claims_->ask(organisation, key,
+                 [done](const control::key_answer& answer) { done(describe_key(answer)); });
+  }
+
   void post_announcement(const backend_announcement& announcement) {
     asio::post(control_context_, [this, announcement] {
       registry_->announce(announcement, support::monotonic_now());
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -27,6 +27,11 @@
 // Retry-after of a call that was shed at the entry, before jitter.
 constexpr std::uint32_t entry_retry_after_ms = 200;
 
+// An attempt of an idempotent call is given up after this many expected service times, and not
+// before the time given here.
+constexpr int attempt_factor = 10;
+constexpr support::milliseconds least_attempt_time{300};
+
 // One attempt that is under way.
 struct attempt {
   std::shared_ptr<decide::upstream_load> load;
@@ -196,7 +201,8 @@
     }
     auto request = call->request.call;
     ++call->attempts;
-    call->current.lent = protects() ? decide::lend_attempts(call->budget) : 0;
+    const bool lends = protects() && call->request.destination_calls_others;
+    call->current.lent = lends ? decide::lend_attempts(call->budget) : 0;
     request.lent_attempts = call->current.lent;
     decide::begin_attempt(*call->current.load);
     if (call->current.address == environment_.own_call_address) {
@@ -209,10 +215,23 @@
       return;
     }
     call->current.remote = environment_.peers->send_call(
-        *peer, std::move(request), call->request.deadline,
+        *peer, std::move(request), attempt_deadline(*call, now),
         [this, call](wire::call_reply reply) { on_reply(call, std::move(reply)); });
   }
 
+  // An idempotent call does not wait out its whole deadline at an upstream that does not answer, so
+  // that time is left for another one.
+  support::time_point attempt_deadline(const entry_call& call, support::time_point now) const {
+    const auto deadline = call.request.deadline;
+    if (!protects() || !call.request.call.idempotent) {
+      return deadline;
+    }
+    const support::duration expected =
+        support::microseconds(call.current.load->service_time_us.load(std::memory_order_relaxed));
+    const auto limit = std::max<support::duration>(least_attempt_time, expected * attempt_factor);
+    return std::min(deadline, now + limit);
+  }
+
   void send_to_self(const call_ptr& call, wire::call_request request, support::time_point now) {
     request.time_left_us = static_cast<std::uint64_t>(std::max<std::int64_t>(
         0,
@@ -266,6 +285,10 @@
       return;
     }
     const auto now = support::monotonic_now();
+    if (reply.code == result_code::deadline_exceeded && now < call->request.deadline) {
+      // The attempt's time is over, and the call's own is not.
+      reply.code = result_code::peer_stalled;
+    }
     take_reply(*call, reply, now);
     call->spent += reply.spent_attempts;
     const bool answered = reply.outcome == wire::outcome::completed;
--- /dev/null
+++ b/lib/daemon/process_metrics.cpp
@@ -0,0 +1,61 @@
+#include "acaciasill/daemon/process_metrics.h"
+
+#include <string>
+#include <utility>
+
+#include "acaciasill/board/call_board.h"
+#include "acaciasill/net/gossip_socket.h"
+
+namespace acaciasill::daemon {
+namespace {
+
+prometheus::MetricFamily family_of(prometheus::MetricType type, std::string name, std::string help,
+                                   double value) {
+  prometheus::MetricFamily family;
+  family.name = std::move(name);
+  family.help = std::move(help);
+  family.type = type;
+  prometheus::ClientMetric metric;
+  metric.counter.value = value;
+  metric.gauge.value = value;
+  family.metric.push_back(std::move(metric));
+  return family;
+}
+
+prometheus::MetricFamily gauge(std::string name, std::string help, double value) {
+  return family_of(prometheus::MetricType::Gauge, std::move(name), std::move(help), value);
+}
+
+prometheus::MetricFamily counter(std::string name, std::string help, double value) {
+  return family_of(prometheus::MetricType::Counter, std::move(name), std::move(help), value);
+}
+
+double value_of(const std::atomic<std::uint64_t>& number) {
+  return static_cast<double>(number.load(std::memory_order_relaxed));
+}
+
+} // namespace
+
+std::vector<prometheus::MetricFamily> collect_process_metrics(const board::call_board& board,
+                                                              const net::gossip_counters& gossip) {
+  const auto& gate = board.gate;
+  return {
+      gauge("acaciasill_upstream_limit", "calls that the local backend server may run at once",
+            gate.limit.load()),
+      gauge("acaciasill_upstream_in_flight", "calls that run in the local backend server",
+            gate.in_flight.load()),
+      gauge("acaciasill_upstream_waiting", "calls that wait for a slot", gate.waiting.load()),
+      gauge("acaciasill_calls_in_flight", "calls of callers and peers without an answer",
+            value_of(board.calls_in_flight)),
+      counter("acaciasill_control_sent_bytes_total", "bytes of datagrams sent",
+              value_of(gossip.sent_bytes)),
+      counter("acaciasill_control_received_bytes_total", "bytes of datagrams received",
+              value_of(gossip.received_bytes)),
+      counter("acaciasill_control_dropped_total",
+              "datagrams dropped as forged, corrupt, too large or replayed",
+              value_of(gossip.not_authenticated) + value_of(gossip.corrupt) +
+                  value_of(gossip.too_large) + value_of(gossip.replayed)),
+  };
+}
+
+} // namespace acaciasill::daemon
--- a/lib/decide/retry.cpp
+++ b/lib/decide/retry.cpp
@@ -130,7 +130,8 @@
 std::uint32_t lend_attempts(attempt_budget& budget) {
   auto state = budget.state.load(relaxed);
   while (true) {
-    const auto lent = static_cast<std::uint32_t>(state) / 2;
+    const auto held = static_cast<std::uint32_t>(state);
+    const auto lent = held / 2 + held % 2;
     if (lent == 0 || budget.state.compare_exchange_weak(state, state - lent, relaxed)) {
       return lent;
     }
