Stop a bridge to another data centre in the middle of its duty

The tests stopped a reader of the head and a keeper of a seed row, but no holder of the third duty. A drain on the other side is known within 2 s while the holder is stopped, nobody else is suspected, and all views agree within 5 s after it goes on.

--- a/unittests/control/membership_test.cpp
+++ b/unittests/control/membership_test.cpp
@@ -132,6 +132,42 @@
   CHECK(bag.platform.rows == rows);
 }
 
+TEST_CASE("a paused bridge to another data centre neither stops news nor cuts anybody off") {
+  message_bag bag(16);
+  const auto accra = add_nodes(bag, "accra", 5);
+  const auto kumasi = add_nodes(bag, "kumasi", 5, {accra[0]});
+  REQUIRE(bag.run_until([&] { return bag.views_agree(); }, seconds(15)));
+  std::string holder;
+  for (const auto& address : accra) {
+    const auto bridged = describe_node(*bag.at(address).state).bridged_data_centres;
+    if (!bridged.empty()) {
+      holder = address;
+    }
+  }
+  REQUIRE_FALSE(holder.empty());
+  bag.pause(holder);
+  // At once, while the others still count on the holder that is stopped.
+  const std::string leaver = kumasi[1];
+  bag.give(leaver, backend_reported{100, 750, true});
+  const auto all_know = [&] {
+    for (const auto& [address, node] : bag.nodes()) {
+      const auto* known = find_member(node.view, bag.at(leaver).settings.call_address);
+      if (!node.paused && (known == nullptr || !known->draining)) {
+        return false;
+      }
+    }
+    return true;
+  };
+  CHECK(bag.run_until(all_know, seconds(2)));
+  bag.run(seconds(15));
+  for (const auto& known : bag.at(kumasi[0]).view.members) {
+    const bool is_holder = known.call_address == bag.at(holder).settings.call_address;
+    CHECK((is_holder || !known.suspect));
+  }
+  bag.resume(holder);
+  CHECK(bag.run_until([&] { return bag.views_agree(); }, seconds(5)));
+}
+
 TEST_CASE("two halves of a data centre agree again within 5 s of the heal") {
   message_bag bag(8);
   const auto nodes = add_nodes(bag, "accra", 8);
