--- a/tools/acaciactl/daemon_commands.cpp
+++ b/tools/acaciactl/daemon_commands.cpp
@@ -111,6 +111,7 @@
     }
   }
   std::vector<model::finding> findings;
+  findings.reserve(missing.size());
   for (const auto& [kind, name] : missing) {
     findings.push_back({asked.arguments[0], 0, absl::StrCat(kind, " ", name), "name",
                         result_code::name_in_use, "members have it"});
--- a/tools/acaciactl/output.cpp
+++ b/tools/acaciactl/output.cpp
@@ -32,6 +32,7 @@
   table rows = {columns};
   for (const auto& item : list) {
     std::vector<std::string> row;
+    row.reserve(columns.size());
     for (const auto& column : columns) {
       row.push_back(item.contains(column) ? cell(item.at(column)) : "-");
     }
