--- a/include/acaciasill/net/peer_pool.h
+++ b/include/acaciasill/net/peer_pool.h
@@ -25,7 +25,7 @@
 class peer_pool {
 public:
   // The contexts outlive the pool.
-  peer_pool(std::vector<asio::io_context*> contexts, peer_settings settings);
+  peer_pool(const std::vector<asio::io_context*>& contexts, peer_settings settings);
   peer_pool(const peer_pool&) = delete;
   peer_pool& operator=(const peer_pool&) = delete;
   ~peer_pool();
--- a/lib/net/peer_pool.cpp
+++ b/lib/net/peer_pool.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-peer_pool::peer_pool(std::vector<asio::io_context*> contexts, peer_settings settings)
+peer_pool::peer_pool(const std::vector<asio::io_context*>& contexts, peer_settings settings)
     : settings_(std::move(settings)) {
   for (auto* context : contexts) {
     shards_.push_back(std::make_unique<shard>());
