Deliver the platform's answers to the claims; advise callers at the entry; order events

A view that arose inside another action could be followed by an older one. Callers shed at the entry were given a flat advice. RESTinio closed connections over a limit without a line in the log.

--- a/include/acaciasill/board/call_board.h
+++ b/include/acaciasill/board/call_board.h
@@ -8,6 +8,7 @@
 #include "acaciasill/board/rcu_cell.h"
 #include "acaciasill/board/slot_registry.h"
 #include "acaciasill/board/views.h"
+#include "acaciasill/decide/advice.h"
 #include "acaciasill/decide/duplicates.h"
 #include "acaciasill/decide/entry_thresholds.h"
 #include "acaciasill/decide/gate.h"
@@ -50,6 +51,10 @@
   std::vector<decide::retry_tokens> retries;
   std::vector<decide::spill_counters> spills;
 
+  // How far each organisation's callers are refused at this entry, for the advice when to come
+  // back.
+  std::vector<decide::caller_excess> entry_excess;
+
   // Whether the daemon is leaving and refuses new work.
   std::atomic<bool> leaving{false};
   // Calls of callers and of peers that have no answer yet.
--- a/include/acaciasill/daemon/control_loop.h
+++ b/include/acaciasill/daemon/control_loop.h
@@ -2,6 +2,7 @@
 #define ACACIASILL_DAEMON_CONTROL_LOOP_H
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <string>
 #include <vector>
@@ -47,6 +48,7 @@
   const control::cluster_view& view() const { return view_; }
 
 private:
+  void take(const control::event& input);
   void carry_out(const control::action& action);
   void perform(const control::send_datagram& action);
   void perform(const control::platform_request& action);
@@ -64,6 +66,10 @@
   asio::steady_timer timer_;
   routing_publisher routing_;
   control::cluster_view view_;
+  // Events that arose while actions were carried out; they wait until all of these are done, so
+  // that a later view is never followed by an older one.
+  std::deque<control::event> waiting_;
+  bool handling_ = false;
 };
 
 } // namespace acaciasill::daemon
--- a/include/acaciasill/model/configuration.h
+++ b/include/acaciasill/model/configuration.h
@@ -61,7 +61,7 @@
   // The time over which a cold upstream is brought to its full limit.
   support::milliseconds slow_start{2000};
   // The part of an admission threshold that is given back in one step of recovery.
-  double threshold_step = 0.05;
+  double threshold_step = 0.1;
   // The largest part of a service's calls that may leave the local data centre.
   double spill_cap = 0.5;
 
--- a/include/acaciasill/wire/call.h
+++ b/include/acaciasill/wire/call.h
@@ -5,18 +5,14 @@
 #include <string>
 #include <vector>
 
+#include "acaciasill/decide/level.h"
 #include "acaciasill/support/result_code.h"
 
 // The typed messages that daemons exchange for a call, apart from their encoding.
 namespace acaciasill::wire {
 
 // The 128-bit id of a whole request; the same at every hop.
-struct request_id {
-  std::uint64_t high = 0;
-  std::uint64_t low = 0;
-
-  auto operator<=>(const request_id&) const = default;
-};
+using request_id = decide::request_id;
 
 // One HTTP header field.
 struct header_field {
--- a/lib/board/call_board.cpp
+++ b/lib/board/call_board.cpp
@@ -10,6 +10,7 @@
       admission(std::make_unique<const decide::gate_view>()),
       backend(std::make_unique<const backend_target>()), gate(organisation_capacity),
       thresholds(subject_capacity, organisation_capacity), duplicates(duplicate_capacity),
-      parents(parent_capacity), retries(service_capacity), spills(service_capacity) {}
+      parents(parent_capacity), retries(service_capacity), spills(service_capacity),
+      entry_excess(organisation_capacity) {}
 
 } // namespace acaciasill::board
--- a/lib/daemon/control_loop.cpp
+++ b/lib/daemon/control_loop.cpp
@@ -29,6 +29,20 @@
       timer_(context), routing_{settings.name, settings.data_centre, {}} {}
 
 void control_loop::handle(const control::event& input) {
+  waiting_.push_back(input);
+  if (handling_) {
+    return;
+  }
+  handling_ = true;
+  while (!waiting_.empty()) {
+    const auto next = std::move(waiting_.front());
+    waiting_.pop_front();
+    take(next);
+  }
+  handling_ = false;
+}
+
+void control_loop::take(const control::event& input) {
   std::vector<control::action> actions;
   control::step(*node_, input, support::monotonic_now(), random_, actions);
   for (const auto& action : actions) {
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -181,7 +181,7 @@
       platform_ = std::make_unique<net::platform_client>(
           platform_settings, [this](control::platform_answer answer) {
             asio::post(control_context_,
-                       [this, answer = std::move(answer)] { control_->handle(answer); });
+                       [this, answer = std::move(answer)] { take_platform_answer(answer); });
           });
     }
     make_control();
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -24,9 +24,6 @@
 
 using support::result_code;
 
-// Retry-after of a call that was shed at the entry, before jitter.
-constexpr std::uint32_t entry_retry_after_ms = 200;
-
 // An attempt of an idempotent call is given up after this many expected service times, and not
 // before the time given here.
 constexpr int attempt_factor = 10;
@@ -147,7 +144,7 @@
 
   void begin(const call_ptr& call, support::time_point now) {
     auto& request = call->request;
-    const decide::request_id id{request.call.id.high, request.call.id.low};
+    const auto& id = request.call.id;
     if (request.from_backend) {
       call->parent = decide::find_parent(board_.parents, id);
     }
@@ -170,11 +167,18 @@
   bool admit_at_entry(entry_call& call, support::time_point now) {
     const auto& request = call.request;
     const auto ticket = decide::begin_call(
-        board_.duplicates, decide::fingerprint({request.call.id.high, request.call.id.low},
-                                               request.call.service, request.call.method,
-                                               request.call.target, request.call.idempotency_key));
+        board_.duplicates,
+        decide::fingerprint(request.call.id, request.call.service, request.call.method,
+                            request.call.target, request.call.idempotency_key));
     if (ticket.check == decide::duplicate_check::duplicate) {
-      finish(call, refusal_reply(result_code::duplicate_in_progress, jittered(call)));
+      // The same call is running, so that nothing certain can be said of its outcome yet.
+      auto reply = refusal_reply(result_code::duplicate_in_progress, advice(call));
+      reply.outcome = wire::outcome::unknown;
+      finish(call, std::move(reply));
+      return false;
+    }
+    if (ticket.check == decide::duplicate_check::untracked && !request.call.idempotent) {
+      finish(call, refusal_reply(result_code::claim_unavailable, advice(call)));
       return false;
     }
     if (ticket.check == decide::duplicate_check::first) {
@@ -182,21 +186,24 @@
     }
     if (decide::shed_at_entry(board_.thresholds, request.threshold_subject,
                               request.organisation_slot, call.level, now)) {
-      finish(call, refusal_reply(result_code::shed_at_entry, jittered(call)));
+      decide::note_refused(board_.entry_excess[request.organisation_slot]);
+      finish(call, refusal_reply(result_code::shed_at_entry, advice(call)));
       return false;
     }
+    decide::note_admitted(board_.entry_excess[request.organisation_slot]);
     return true;
   }
 
-  static std::uint32_t jittered(entry_call& call) {
-    return static_cast<std::uint32_t>(entry_retry_after_ms *
-                                      (0.5 + support::uniform_unit(call.home.random)));
+  // When the caller of a refused call should come back, in milliseconds.
+  std::uint32_t advice(entry_call& call) {
+    return decide::retry_after_ms(board_.entry_excess[call.request.organisation_slot],
+                                  call.request.call.rank, call.home.random);
   }
 
   // Starts the next attempt.
   void send(const call_ptr& call, support::time_point now) {
     if (!choose(*call, now)) {
-      finish(*call, refusal_reply(result_code::no_upstream, jittered(*call)));
+      finish(*call, refusal_reply(result_code::no_upstream, advice(*call)));
       return;
     }
     auto request = call->request.call;
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -71,7 +71,7 @@
 
   decide::request_facts facts_of(const wire::call_request& request, support::time_point now) {
     decide::request_facts facts;
-    facts.id = {request.id.high, request.id.low};
+    facts.id = request.id;
     facts.level = decide::make_level(request.rank, request.holds_finished_work, facts.id);
     facts.deadline = now + support::microseconds(request.time_left_us);
     facts.holds_finished_work = request.holds_finished_work;
--- a/lib/daemon/upstream_queue.cpp
+++ b/lib/daemon/upstream_queue.cpp
@@ -171,6 +171,9 @@
 
 void upstream_queue::control() {
   const auto now = support::monotonic_now();
+  for (auto& excess : board_.entry_excess) {
+    decide::reduce_excess(excess);
+  }
   {
     const board::rcu_read_guard guard;
     decide::adjust(board_.gate, board_.admission.read(guard), controller_);
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -18,6 +18,32 @@
 constexpr std::chrono::seconds slow_request_limit{10};
 constexpr std::chrono::seconds handler_limit{120};
 
+// Passes what RESTinio finds wrong with a connection on to the log, so that a request over a limit
+// leaves one line. The server closes such a connection.
+class connection_log {
+public:
+  template <typename Builder>
+  void trace(Builder&& /*build*/) const noexcept {}
+  template <typename Builder>
+  void info(Builder&& /*build*/) const noexcept {}
+  template <typename Builder>
+  void warn(Builder&& build) const {
+    write(std::forward<Builder>(build));
+  }
+  template <typename Builder>
+  void error(Builder&& build) const {
+    write(std::forward<Builder>(build));
+  }
+
+private:
+  template <typename Builder>
+  static void write(Builder&& build) {
+    support::write_log(support::log_level::warning, "http",
+                       support::format_code(support::result_code::bad_request) +
+                           " a connection was closed: " + build());
+  }
+};
+
 // Tells the server when a connection ends.
 class close_listener {
 public:
