Gather enough figures before thresholds are adjusted

Cause: with ten slots of 50 ms an upstream finishes four calls in a control period of 20 ms; thresholds followed chance, closed at once and opened slowly, and a deep service ran at 76 per cent of what it can. Change: an adjustment waits for 16 finished calls or five periods; an upstream where nothing happens is adjusted at once.

--- a/include/acaciasill/decide/threshold_controller.h
+++ b/include/acaciasill/decide/threshold_controller.h
@@ -52,6 +52,10 @@
   double waiting_before = 0.0;
   // Adjustments in a row that found no queueing.
   std::uint32_t quiet = 0;
+  // Control periods since the last adjustment, and the smoothed time between two adjustments. What
+  // the figures above count in one period, they count between two adjustments.
+  std::uint32_t periods = 0;
+  double interval_us = 0.0;
 };
 
 // Reads the figures since the last call, moves the budget of admitted calls, and writes every
--- a/lib/decide/threshold_controller.cpp
+++ b/lib/decide/threshold_controller.cpp
@@ -23,6 +23,9 @@
 constexpr double negligible = 0.01;
 // The part of the calls of a period whose drop from the queue counts as overload.
 constexpr double tolerated_drops = 0.02;
+// An adjustment waits for this many finished calls, and for no more periods than this.
+constexpr std::uint32_t enough_finished = 16;
+constexpr std::uint32_t most_periods = 5;
 // Dropped calls in a period, smoothed, below which drops are chance.
 constexpr double negligible_drops = 0.2;
 // The largest part of the queue's bound that the delay is held at.
@@ -149,8 +152,7 @@
 // The calls that wait when the queueing delay is on its target.
 double wanted_queue(const gate& state, const gate_view& view,
                     const threshold_controller& controller) {
-  const double period_us = static_cast<double>(support::microseconds(control_period).count());
-  return controller.finished * target_us(state, view) / period_us;
+  return controller.finished * target_us(state, view) / std::max(1.0, controller.interval_us);
 }
 
 // Closes the thresholds: as much is admitted as is finished, less a part of what waits.
@@ -195,6 +197,23 @@
   controller.budget = std::min(raised, std::max(most, controller.budget));
 }
 
+// Whether enough has happened for an adjustment; a few calls alone would be judged by chance. An
+// idle upstream is adjusted at once, so that nothing stays closed without traffic. Takes the time
+// in where it has.
+bool has_enough_figures(const gate& state, threshold_controller& controller) {
+  ++controller.periods;
+  const bool idle = state.started.load(relaxed) == 0 && state.finished.load(relaxed) == 0 &&
+                    state.dropped.load(relaxed) == 0 && state.waiting.load(relaxed) == 0;
+  const bool enough = state.finished.load(relaxed) >= enough_finished;
+  if (!idle && !enough && controller.periods < most_periods) {
+    return false;
+  }
+  const support::microseconds interval = control_period * controller.periods;
+  smooth(controller.interval_us, static_cast<double>(interval.count()));
+  controller.periods = 0;
+  return true;
+}
+
 void move_budget(gate& state, const gate_view& view, threshold_controller& controller) {
   const double target = target_us(state, view);
   const double delay = mean_delay_us(controller);
@@ -217,6 +236,9 @@
 } // namespace
 
 void adjust(gate& state, const gate_view& view, threshold_controller& controller) {
+  if (!has_enough_figures(state, controller)) {
+    return;
+  }
   collect(state, controller);
   const double finished = take_figures(state, controller);
   if (finished == 0.0 && state.in_flight.load(relaxed) == 0) {
