--- a/include/acaciasill/daemon/daemon_settings.h
+++ b/include/acaciasill/daemon/daemon_settings.h
@@ -47,9 +47,6 @@
   support::milliseconds stop_timeout{30000};
   // The time without a heartbeat after which the local backend server counts as lost.
   support::milliseconds heartbeat_timeout{3500};
-  // A file that a session is recorded to; empty for none. For investigations alone, since instances
-  // have no disks of their own.
-  std::string record;
   support::log_settings log;
 
   bool operator==(const daemon_settings&) const = default;
--- a/lib/daemon/daemon_settings.cpp
+++ b/lib/daemon/daemon_settings.cpp
@@ -55,7 +55,6 @@
                    max_stop_timeout);
   reader.time_span("heartbeat_timeout_ms", settings.heartbeat_timeout, min_heartbeat_timeout,
                    max_heartbeat_timeout);
-  reader.text("record", settings.record);
   read_log_settings(reader, settings);
   if (settings.peer_key.empty() && !settings.allow_unauthenticated) {
     reader.reject("peer_key", support::result_code::missing_key,
