Say once what counts as a refusal for load, and size ids by the threads

Cause: the read-through found the same list of result codes in lib/decide and lib/daemon, and an array of 64 ids addressed by a remainder. Change: the daemon calls decide::is_overload and adds backend_shed, as it did; ids stand in a vector with one for each thread. Ruled out: taking backend_shed into the shared function, which would forbid the retry elsewhere that may_retry allows now. Conclusion: one list to keep.

--- a/include/acaciasill/decide/retry.h
+++ b/include/acaciasill/decide/retry.h
@@ -112,6 +112,9 @@
   bool operator==(const retry_decision&) const = default;
 };
 
+// Whether the code says that a daemon refused the call for load.
+bool is_overload(support::result_code code);
+
 // Decides about a retry of a failed attempt at another upstream. Where it uses the budget, the
 // attempt and the token have been taken; give the attempt back with restore_attempt if it is not
 // sent after all.
--- a/lib/daemon/entry_answer.cpp
+++ b/lib/daemon/entry_answer.cpp
@@ -79,18 +79,4 @@
   return answer;
 }
 
-bool is_overload(result_code code) {
-  switch (code) {
-  case result_code::shed_at_entry:
-  case result_code::shed_at_upstream:
-  case result_code::queue_full:
-  case result_code::queue_timeout:
-  case result_code::share_exceeded:
-  case result_code::backend_shed:
-    return true;
-  default:
-    return false;
-  }
-}
-
 } // namespace acaciasill::daemon
--- a/lib/daemon/entry_answer.h
+++ b/lib/daemon/entry_answer.h
@@ -20,9 +20,6 @@
 // The answer for a request that could not be understood.
 net::http_response make_error_answer(const absl::Status& status);
 
-// Whether a code says that the call was refused for load.
-bool is_overload(support::result_code code);
-
 } // namespace acaciasill::daemon
 
 #endif
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -371,7 +371,8 @@
       summary.unused_attempts = decide::take_attempts(call.budget, call.first_budget);
       summary.spent_attempts = call.spent;
       summary.threshold = reply.threshold;
-      summary.overloaded_below = reply.overloaded_below || is_overload(reply.code);
+      summary.overloaded_below = reply.overloaded_below || decide::is_overload(reply.code) ||
+                                 reply.code == result_code::backend_shed;
       decide::return_to_parent(board_.parents, *call.parent, call.first_budget, summary,
                                reply.outcome == wire::outcome::completed);
     }
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -49,7 +49,7 @@
 struct upstream_calls::implementation {
   explicit implementation(upstream_environment environment)
       : environment_(std::move(environment)), board_(*environment_.board),
-        calls_(environment_.threads.size()),
+        calls_(environment_.threads.size()), last_ids_(environment_.threads.size()),
         queue_(*environment_.board, *environment_.threads.front(),
                {[this](queue_handle handle) { run_queued(handle); },
                 [this](queue_handle handle, result_code code) { drop_queued(handle, code); }}) {}
@@ -58,7 +58,7 @@
 
   std::uint64_t serve(request_thread& home, wire::call_request request, upstream_reply reply) {
     auto call = std::make_shared<running_call>();
-    call->id = ++last_id_[home.index % max_request_threads];
+    call->id = ++last_ids_[home.index];
     call->arrived = support::monotonic_now();
     call->facts = facts_of(request, call->arrived);
     call->request = std::move(request);
@@ -355,12 +355,11 @@
     }
   }
 
-  static constexpr std::size_t max_request_threads = 64;
-
   upstream_environment environment_;
   board::call_board& board_;
   std::vector<call_table> calls_;
-  std::uint64_t last_id_[max_request_threads] = {};
+  // The last id that each thread gave out.
+  std::vector<std::uint64_t> last_ids_;
   upstream_queue queue_;
 };
 
--- a/lib/decide/retry.cpp
+++ b/lib/decide/retry.cpp
@@ -48,20 +48,6 @@
          code == result_code::peer_unreachable || code == result_code::backend_unreachable;
 }
 
-// A refusal for load: a retry would add to it.
-bool is_overload(result_code code) {
-  switch (code) {
-  case result_code::shed_at_entry:
-  case result_code::shed_at_upstream:
-  case result_code::queue_full:
-  case result_code::queue_timeout:
-  case result_code::share_exceeded:
-    return true;
-  default:
-    return false;
-  }
-}
-
 // A failure that another attempt may mend.
 bool is_transient(result_code code) {
   switch (code) {
@@ -86,6 +72,19 @@
 
 } // namespace
 
+bool is_overload(result_code code) {
+  switch (code) {
+  case result_code::shed_at_entry:
+  case result_code::shed_at_upstream:
+  case result_code::queue_full:
+  case result_code::queue_timeout:
+  case result_code::share_exceeded:
+    return true;
+  default:
+    return false;
+  }
+}
+
 std::uint32_t held_attempts(const attempt_budget& budget) {
   return static_cast<std::uint32_t>(budget.state.load(relaxed));
 }
