Serve and call HTTP by http_parser on Asio in place of RESTinio and libcurl

Cause: the platform's callers pipeline requests and send chunked bodies, backend servers add bytes after a response or send a late one, and a request that is not idempotent needs a kept connection. RESTinio closes connections over a limit without an answer, and libcurl opens a connection for each request that must not be repeated and drops no foreign response.

Ruled out: Boost.Beast, which needs Boost.Asio beside the Asio that all connections use.

Change: http_server and http_client (before: backend_client) on http_parser, which the project used through RESTinio already. Responses leave in the order of the requests, limits are answered, a caller's close is seen while its request waits, foreign responses are dropped and excess bytes end the connection. Peer links look for silent peers by a probe, and routing leaves out upstreams that cannot be reached. Log lines carry named values and can be gathered for standard output.

--- a/include/acaciasill/board/views.h
+++ b/include/acaciasill/board/views.h
@@ -22,6 +22,8 @@
   std::vector<std::uint32_t> service_slots;
   // By the index of a route in the set.
   std::vector<std::uint32_t> route_slots;
+  // By the index of a host route in the set.
+  std::vector<std::uint32_t> host_route_slots;
 };
 
 // The upstreams of one service that this daemon sends calls to.
@@ -42,8 +44,10 @@
 struct backend_target {
   bool present = false;
   std::string service;
-  // "http://ip:port", to which a call's target is appended.
-  std::string base_url;
+  // Where it takes requests, "ip:port".
+  std::string address;
+  // Its identity, which the server checks where it is told; empty where it gave none.
+  std::string instance;
   std::uint32_t slots = 0;
   std::uint32_t connections = 0;
 
--- a/include/acaciasill/daemon/backend_registry.h
+++ b/include/acaciasill/daemon/backend_registry.h
@@ -24,6 +24,8 @@
   std::string service;
   // "ip:port".
   std::string address;
+  // The identity of this life of the server; empty where it gives none.
+  std::string instance;
   std::uint32_t slots = 0;
   std::uint32_t connections = 0;
   bool cold = false;
--- a/include/acaciasill/decide/routing.h
+++ b/include/acaciasill/decide/routing.h
@@ -32,6 +32,10 @@
   // Until when the upstream is ejected, in milliseconds; 0 for not at all.
   std::atomic<std::uint32_t> ejected_until_ms{0};
   std::atomic<std::uint32_t> ejections{0};
+  // Until when the upstream counts as out of reach, in milliseconds, 0 for not at all, and how
+  // often in a row it was.
+  std::atomic<std::uint32_t> unreachable_until_ms{0};
+  std::atomic<std::uint32_t> unreachable_times{0};
 };
 
 // One upstream as a view lists it.
@@ -99,6 +103,14 @@
 // twice as long each further time, up to 30 s.
 void learn_result(upstream_load& load, bool failed, support::time_point now);
 
+// Takes in whether an attempt found the upstream's daemon and its backend server. One that was not
+// found is left out for 100 ms at first and twice as long each further time, up to 2 s; unlike an
+// ejection that needs no proof by many replies and has no cap.
+void learn_reachability(upstream_load& load, bool reached, support::time_point now);
+
+// Whether the upstream is left out since it could not be reached.
+bool is_unreachable(const upstream_load& load, support::time_point now);
+
 // Whether the upstream is ejected, the cap and the panic rule aside.
 bool is_ejected(const upstream_load& load, support::time_point now);
 
--- a/include/acaciasill/net/http_server.h
+++ b/include/acaciasill/net/http_server.h
@@ -11,19 +11,23 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "acaciasill/support/time.h"
 #include "acaciasill/wire/call.h"
 
 namespace asio {
 class io_context;
 }
 
-// An HTTP/1.1 server on one io_context, by RESTinio behind a narrow interface, so that only one
-// translation unit pays for its templates.
+// An HTTP/1.1 server on one io_context, on Asio and http_parser. Requests of one connection may be
+// pipelined; their responses leave in the order of the requests. docs/design/http-edges.md says why
+// it is not RESTinio's server.
 namespace acaciasill::net {
 
 // A whole HTTP request; bodies are bounded by http_server_settings.
 struct http_request {
   std::uint64_t connection = 0;
+  // The address that the connection comes from, without the port.
+  std::string remote_ip;
   std::string method;
   // Path and query as they came.
   std::string target;
@@ -54,9 +58,15 @@
   // Lets several servers of one process share the port, one on each thread.
   bool share_port = false;
   std::size_t max_body_bytes = std::size_t{1} << 20U;
-  std::size_t max_target_bytes = 8192;
-  std::size_t max_header_bytes = 8192;
-  std::size_t max_header_count = 100;
+  // The request line's target and all header fields together.
+  std::size_t max_header_bytes = 16384;
+  // The longest time from a request's first byte to the end of its header.
+  support::milliseconds header_timeout{10000};
+  // The time without a request after which a connection is closed, and the longest time that a
+  // body or a response may stand still.
+  support::milliseconds idle_timeout{75000};
+  // Requests of one connection that may wait for their responses; reading stops there.
+  std::size_t max_pipelined = 32;
 
   bool operator==(const http_server_settings&) const = default;
 };
@@ -80,15 +90,24 @@
   // Binds and starts to accept; port_in_use where the address cannot be bound.
   absl::Status open();
 
-  // Stops accepting; connections that are open go on.
+  // Stops accepting; connections that are open go on. From any thread.
   void close();
 
+  // Changes the bounds on what callers may send; for connections that are open as well.
+  void set_limits(const http_server_settings& settings);
+
+  // From now on every response ends its connection.
+  void set_draining();
+
+  // Closes the connections on which no request waits, and returns how many are left open.
+  std::size_t close_idle();
+
   // The port that it listens on, once open.
   std::uint16_t port() const;
 
 private:
   struct implementation;
-  std::unique_ptr<implementation> implementation_;
+  std::shared_ptr<implementation> implementation_;
 };
 
 // Checks that nobody listens on the address and returns its port, a free one for port 0. Servers
--- a/include/acaciasill/net/peer_settings.h
+++ b/include/acaciasill/net/peer_settings.h
@@ -28,6 +28,12 @@
   // The longest time that a frame may take from its first byte to its last, and a write without
   // progress.
   support::milliseconds stall_timeout{3000};
+  // The time without a sign of a peer that has calls of ours after which it counts as silent; a
+  // probe is sent after half of it. Calls that may be repeated are then given up, further ones
+  // refused, and the others wait until the connection has been silent for abandon_timeout. 0 for no
+  // such look.
+  support::milliseconds silence_timeout{0};
+  support::milliseconds abandon_timeout{2500};
   // The time without a call after which an outgoing connection is closed.
   support::milliseconds idle_timeout{30000};
   // Bounds of the pause after a failed connection; the pause doubles and is jittered.
--- a/lib/daemon/backend_registry.cpp
+++ b/lib/daemon/backend_registry.cpp
@@ -63,10 +63,12 @@
   if (present_ == lasting) {
     return;
   }
-  const bool is_new =
-      !present_ || present_->address != lasting.address || present_->service != lasting.service;
+  const bool is_new = !present_ || present_->address != lasting.address ||
+                      present_->instance != lasting.instance ||
+                      present_->service != lasting.service;
   present_ = lasting;
-  publish({true, lasting.service, "http://" + lasting.address, lasting.slots, lasting.connections});
+  publish({true, lasting.service, lasting.address, lasting.instance, lasting.slots,
+           lasting.connections});
   callbacks_.on_change(announcement, is_new);
 }
 
--- a/lib/decide/retry.cpp
+++ b/lib/decide/retry.cpp
@@ -53,6 +53,7 @@
   switch (code) {
   case result_code::backend_failed:
   case result_code::backend_shed:
+  case result_code::backend_replaced:
   case result_code::backend_unreachable:
   case result_code::peer_lost:
   case result_code::peer_stalled:
--- a/lib/decide/routing.cpp
+++ b/lib/decide/routing.cpp
@@ -12,6 +12,9 @@
 constexpr std::uint32_t report_lifetime_ms = 1000;
 constexpr std::uint32_t failure_scale = 65536;
 constexpr unsigned failure_shift = 4;
+constexpr std::uint32_t first_unreachable_ms = 100;
+constexpr std::uint32_t longest_unreachable_ms = 2000;
+constexpr std::uint32_t most_doublings = 5;
 // An upstream with more failures than this part is an outlier.
 constexpr std::uint32_t outlier_part = failure_scale / 2;
 constexpr std::uint32_t least_replies = 8;
@@ -47,6 +50,7 @@
   // The ejected upstreams that are left out, a bit for each index.
   std::uint64_t ejected = 0;
   support::time_point now;
+  bool takes_unreachable = false;
 };
 
 bool may_use(const route_view& view, std::uint32_t index, const eligibility& rule) {
@@ -54,6 +58,9 @@
   if (candidate.draining || (index < mask_bits && ((rule.ejected >> index) & 1U) != 0)) {
     return false;
   }
+  if (!rule.takes_unreachable && is_unreachable(*candidate.load, rule.now)) {
+    return false;
+  }
   return std::find(rule.tried.begin(), rule.tried.end(), candidate.id) == rule.tried.end();
 }
 
@@ -180,8 +187,11 @@
   if (const auto chosen = choose(view, spill, strict, random)) {
     return chosen;
   }
-  // An ejected upstream is better than none.
-  return choose(view, spill, {tried, 0, now}, random);
+  // An ejected upstream is better than none, and one that may be out of reach is the last resort.
+  if (const auto chosen = choose(view, spill, {tried, 0, now}, random)) {
+    return chosen;
+  }
+  return choose(view, spill, {tried, 0, now, true}, random);
 }
 
 void begin_attempt(upstream_load& load) {
@@ -222,6 +232,28 @@
   load.ejected_until_ms.store((milliseconds_of(now) + span) | 1U, relaxed);
 }
 
+void learn_reachability(upstream_load& load, bool reached, support::time_point now) {
+  if (reached) {
+    if (load.unreachable_times.load(relaxed) != 0) {
+      load.unreachable_times.store(0, relaxed);
+      load.unreachable_until_ms.store(0, relaxed);
+    }
+    return;
+  }
+  if (is_unreachable(load, now)) {
+    return;
+  }
+  const auto times = std::min(load.unreachable_times.fetch_add(1, relaxed), most_doublings);
+  const auto span = std::min(longest_unreachable_ms, first_unreachable_ms << times);
+  // Zero stands for never.
+  load.unreachable_until_ms.store((milliseconds_of(now) + span) | 1U, relaxed);
+}
+
+bool is_unreachable(const upstream_load& load, support::time_point now) {
+  const auto until = load.unreachable_until_ms.load(relaxed);
+  return until != 0 && static_cast<std::int32_t>(until - milliseconds_of(now)) > 0;
+}
+
 bool is_ejected(const upstream_load& load, support::time_point now) {
   const auto until = load.ejected_until_ms.load(relaxed);
   return until != 0 && static_cast<std::int32_t>(until - milliseconds_of(now)) > 0;
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -1,183 +1,189 @@
 #include "acaciasill/net/http_server.h"
 
+#include <unordered_map>
 #include <utility>
 
 #include <sys/socket.h>
 
-#include <restinio/all.hpp>
+#include <asio.hpp>
 
 #include "acaciasill/support/log.h"
 #include "acaciasill/support/result_code.h"
 
+#include "http_connection.h"
+
 namespace acaciasill::net {
 namespace {
 
-constexpr std::size_t max_pipelined_requests = 2;
-constexpr std::size_t read_buffer_bytes = 16384;
-constexpr std::chrono::seconds idle_connection_limit{75};
-constexpr std::chrono::seconds slow_request_limit{10};
-constexpr std::chrono::seconds handler_limit{120};
-
-// Passes what RESTinio finds wrong with a connection on to the log, so that a request over a limit
-// leaves one line. The server closes such a connection.
-class connection_log {
-public:
-  template <typename Builder>
-  void trace(Builder&& /*build*/) const noexcept {}
-  template <typename Builder>
-  void info(Builder&& /*build*/) const noexcept {}
-  template <typename Builder>
-  void warn(Builder&& build) const {
-    write(std::forward<Builder>(build));
-  }
-  template <typename Builder>
-  void error(Builder&& build) const {
-    write(std::forward<Builder>(build));
-  }
+// How often the time limits of all connections are looked at.
+constexpr support::milliseconds time_limit_period{250};
+// The pause after the system refused to accept a connection, for example for want of descriptors.
+constexpr support::milliseconds accept_pause{50};
 
-private:
-  template <typename Builder>
-  static void write(Builder&& build) {
-    support::write_log(support::log_level::warning, "http",
-                       support::format_code(support::result_code::bad_request) +
-                           " a connection was closed: " + build());
-  }
-};
+} // namespace
 
-// Tells the server when a connection ends.
-class close_listener {
-public:
-  explicit close_listener(std::function<void(std::uint64_t)> on_closed)
-      : on_closed_(std::move(on_closed)) {}
+// Everything runs on the thread of the io_context.
+struct http_server::implementation : std::enable_shared_from_this<http_server::implementation> {
+  implementation(asio::io_context& io, const http_server_settings& settings,
+                 http_server_callbacks callbacks)
+      : context(io), acceptor(io), timer(io),
+        environment(std::make_shared<connection_environment>()) {
+    environment->settings = settings;
+    environment->callbacks = std::move(callbacks);
+  }
 
-  void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
-    if (restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause()) &&
-        on_closed_) {
-      on_closed_(notice.connection_id());
+  absl::Status open() {
+    asio::error_code error;
+    const auto ip = asio::ip::make_address(environment->settings.address, error);
+    const asio::ip::tcp::endpoint endpoint(ip, environment->settings.port);
+    if (!error) {
+      acceptor.open(endpoint.protocol(), error);
+    }
+    if (!error) {
+      acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error && environment->settings.share_port) {
+      acceptor.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true),
+                          error);
+    }
+    if (!error) {
+      acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+      acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
+    if (error) {
+      return support::make_error(support::result_code::port_in_use,
+                                 environment->settings.address + ":" +
+                                     std::to_string(environment->settings.port) + ": " +
+                                     error.message());
+    }
+    bound_port = acceptor.local_endpoint().port();
+    accept();
+    watch_time_limits();
+    return absl::OkStatus();
   }
 
-private:
-  std::function<void(std::uint64_t)> on_closed_;
-};
-
-using request_handler =
-    std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
-
-struct server_traits : restinio::single_thread_traits_t<restinio::asio_timer_manager_t,
-                                                        restinio::null_logger_t, request_handler> {
-  using connection_state_listener_t = close_listener;
-};
-
-using restinio_server = restinio::http_server_t<server_traits>;
-
-http_request to_request(const restinio::request_handle_t& handle) {
-  http_request request;
-  const auto& header = handle->header();
-  request.connection = handle->connection_id();
-  request.method = header.method().c_str();
-  request.target = header.request_target();
-  header.for_each_field([&request](const auto& field) {
-    request.headers.push_back({std::string(field.name()), std::string(field.value())});
-  });
-  request.body = handle->body();
-  return request;
-}
-
-void send_response(const restinio::request_handle_t& handle, http_response response) {
-  auto builder = handle->create_response(restinio::http_status_line_t{
-      restinio::http_status_code_t{response.status}, reason_phrase(response.status)});
-  for (auto& field : response.headers) {
-    builder.append_header(std::move(field.name), std::move(field.value));
-  }
-  if (response.close_connection) {
-    builder.connection_close();
+  void accept() {
+    acceptor.async_accept(
+        [weak = weak_from_this()](asio::error_code error, asio::ip::tcp::socket socket) {
+          const auto self = weak.lock();
+          if (!self || error == asio::error::operation_aborted || !self->acceptor.is_open()) {
+            return;
+          }
+          if (error) {
+            self->accept_later(error);
+            return;
+          }
+          self->add(std::move(socket));
+          self->accept();
+        });
   }
-  builder.set_body(std::move(response.body));
-  builder.done();
-}
 
-restinio::request_handling_status_t handle_request(const http_server_callbacks& callbacks,
-                                                   const restinio::request_handle_t& handle) {
-  callbacks.on_request(to_request(handle), [handle](http_response response) {
-    send_response(handle, std::move(response));
-  });
-  return restinio::request_accepted();
-}
-
-} // namespace
+  void accept_later(const asio::error_code& error) {
+    support::write_log(support::log_level::warning, "http",
+                       "a connection could not be accepted: " + error.message());
+    auto pause = std::make_shared<asio::steady_timer>(context, accept_pause);
+    pause->async_wait([weak = weak_from_this(), pause](asio::error_code /*stopped*/) {
+      if (const auto self = weak.lock(); self && self->acceptor.is_open()) {
+        self->accept();
+      }
+    });
+  }
 
-struct http_server::implementation {
-  implementation(asio::io_context& context, const http_server_settings& settings,
-                 http_server_callbacks callbacks)
-      : callbacks_(std::move(callbacks)),
-        server_(restinio::external_io_context(context), make_settings(settings)) {}
-
-  restinio::server_settings_t<server_traits> make_settings(const http_server_settings& settings) {
-    restinio::server_settings_t<server_traits> result;
-    result.address(settings.address)
-        .port(settings.port)
-        .buffer_size(read_buffer_bytes)
-        .max_pipelined_requests(max_pipelined_requests)
-        .read_next_http_message_timelimit(idle_connection_limit)
-        .write_http_response_timelimit(slow_request_limit)
-        .handle_request_timeout(handler_limit)
-        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
-                                      .max_url_size(settings.max_target_bytes)
-                                      .max_field_name_size(settings.max_header_bytes)
-                                      .max_field_value_size(settings.max_header_bytes)
-                                      .max_field_count(settings.max_header_count)
-                                      .max_body_size(settings.max_body_bytes))
-        .acceptor_options_setter([share = settings.share_port](auto& options) {
-          options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-          if (share) {
-            options.set_option(
-                asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
+  void add(asio::ip::tcp::socket socket) {
+    const auto id = ++last_id;
+    auto connection = std::make_shared<http_connection>(
+        std::move(socket), environment, id, [weak = weak_from_this()](std::uint64_t ended) {
+          if (const auto self = weak.lock()) {
+            self->connections.erase(ended);
           }
-        })
-        .acceptor_post_bind_hook(
-            [this](asio::ip::tcp::acceptor& acceptor) { port_ = acceptor.local_endpoint().port(); })
-        .socket_options_setter(
-            [](auto& options) { options.set_option(asio::ip::tcp::no_delay(true)); })
-        .connection_state_listener(std::make_shared<close_listener>(callbacks_.on_closed))
-        .request_handler([this](const restinio::request_handle_t& handle) {
-          return handle_request(callbacks_, handle);
         });
-    return result;
+    connections.emplace(id, connection);
+    connection->start();
   }
 
-  http_server_callbacks callbacks_;
-  std::uint16_t port_ = 0;
-  restinio_server server_;
+  void watch_time_limits() {
+    timer.expires_after(time_limit_period);
+    timer.async_wait([weak = weak_from_this()](asio::error_code error) {
+      const auto self = weak.lock();
+      if (error || !self) {
+        return;
+      }
+      const auto now = support::monotonic_now();
+      for (const auto& connection : self->snapshot()) {
+        connection->check_time_limits(now);
+      }
+      self->watch_time_limits();
+    });
+  }
+
+  // The connections as they are now; a callback may end some of them.
+  std::vector<std::shared_ptr<http_connection>> snapshot() const {
+    std::vector<std::shared_ptr<http_connection>> present;
+    present.reserve(connections.size());
+    for (const auto& [id, connection] : connections) {
+      present.push_back(connection);
+    }
+    return present;
+  }
+
+  asio::io_context& context;
+  asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer timer;
+  std::shared_ptr<connection_environment> environment;
+  std::unordered_map<std::uint64_t, std::shared_ptr<http_connection>> connections;
+  std::uint64_t last_id = 0;
+  std::uint16_t bound_port = 0;
 };
 
 http_server::http_server(asio::io_context& context, const http_server_settings& settings,
                          http_server_callbacks callbacks)
-    : implementation_(std::make_unique<implementation>(context, settings, std::move(callbacks))) {}
+    : implementation_(std::make_shared<implementation>(context, settings, std::move(callbacks))) {}
 
 http_server::~http_server() {
   close();
+  // Connections may outlive the server within the io_context; nobody is there to be called.
+  implementation_->environment->callbacks = {[](const http_request&, const http_responder&) {},
+                                             [](std::uint64_t) {}};
 }
 
 absl::Status http_server::open() {
-  try {
-    implementation_->server_.open_sync();
-  } catch (const std::exception& error) {
-    return support::make_error(support::result_code::port_in_use, error.what());
-  }
-  return absl::OkStatus();
+  return implementation_->open();
 }
 
 void http_server::close() {
-  try {
-    implementation_->server_.close_sync();
-  } catch (const std::exception& error) {
-    support::write_log(support::log_level::warning, "http", error.what());
+  asio::post(implementation_->context, [weak = std::weak_ptr(implementation_)] {
+    if (const auto self = weak.lock()) {
+      asio::error_code ignored;
+      self->acceptor.close(ignored);
+    }
+  });
+}
+
+void http_server::set_limits(const http_server_settings& settings) {
+  auto& present = implementation_->environment->settings;
+  present.max_body_bytes = settings.max_body_bytes;
+  present.max_header_bytes = settings.max_header_bytes;
+  present.header_timeout = settings.header_timeout;
+  present.idle_timeout = settings.idle_timeout;
+}
+
+void http_server::set_draining() {
+  implementation_->environment->draining = true;
+}
+
+std::size_t http_server::close_idle() {
+  for (const auto& connection : implementation_->snapshot()) {
+    if (connection->is_idle()) {
+      connection->close();
+    }
   }
+  return implementation_->connections.size();
 }
 
 std::uint16_t http_server::port() const {
-  return implementation_->port_;
+  return implementation_->bound_port;
 }
 
 absl::StatusOr<std::uint16_t> reserve_port(const std::string& address, std::uint16_t port) {
@@ -218,12 +224,20 @@
     return "Not Found";
   case 409:
     return "Conflict";
+  case 408:
+    return "Request Timeout";
   case 413:
     return "Payload Too Large";
+  case 421:
+    return "Misdirected Request";
   case 429:
     return "Too Many Requests";
+  case 431:
+    return "Request Header Fields Too Large";
   case 499:
     return "Client Closed Request";
+  case 500:
+    return "Internal Server Error";
   case 502:
     return "Bad Gateway";
   case 503:
--- /dev/null
+++ b/lib/net/http_text.cpp
@@ -0,0 +1,74 @@
+#include "acaciasill/net/http_text.h"
+
+#include <algorithm>
+
+#include "acaciasill/net/call_headers.h"
+
+namespace acaciasill::net {
+namespace {
+
+bool count_header_bytes(http_message& message, std::size_t bytes, const message_limits& limits) {
+  message.header_bytes += bytes;
+  if (message.header_bytes > limits.max_header_bytes) {
+    message.fault = message_fault::header_too_large;
+    return false;
+  }
+  return true;
+}
+
+} // namespace
+
+int take_target(http_message& message, std::string_view bytes, const message_limits& limits) {
+  if (!count_header_bytes(message, bytes.size(), limits)) {
+    return 1;
+  }
+  message.target.append(bytes);
+  return 0;
+}
+
+int take_field_name(http_message& message, std::string_view bytes, const message_limits& limits) {
+  if (!count_header_bytes(message, bytes.size(), limits)) {
+    return 1;
+  }
+  if (message.headers.empty() || message.last_was_value) {
+    message.headers.emplace_back();
+  }
+  message.last_was_value = false;
+  message.headers.back().name.append(bytes);
+  return 0;
+}
+
+int take_field_value(http_message& message, std::string_view bytes, const message_limits& limits) {
+  if (!count_header_bytes(message, bytes.size(), limits)) {
+    return 1;
+  }
+  message.last_was_value = true;
+  message.headers.back().value.append(bytes);
+  return 0;
+}
+
+int take_body(http_message& message, std::string_view bytes, const message_limits& limits) {
+  if (message.body.size() + bytes.size() > limits.max_body_bytes) {
+    message.fault = message_fault::body_too_large;
+    return 1;
+  }
+  message.body.append(bytes);
+  return 0;
+}
+
+const std::string* find_field(const std::vector<wire::header_field>& fields,
+                              std::string_view name) {
+  const auto found = std::find_if(fields.begin(), fields.end(), [name](const auto& field) {
+    return same_field_name(field.name, name);
+  });
+  return found == fields.end() ? nullptr : &found->value;
+}
+
+void append_field(std::string& text, std::string_view name, std::string_view value) {
+  text.append(name);
+  text.append(": ");
+  text.append(value);
+  text.append("\r\n");
+}
+
+} // namespace acaciasill::net
--- a/lib/net/peer_calls.h
+++ b/lib/net/peer_calls.h
@@ -20,6 +20,7 @@
   std::unique_ptr<wire::call_request> unsent;
   // The place of its first byte in the outgoing stream, once it was sent.
   std::uint64_t place = 0;
+  bool idempotent = true;
 };
 
 // How much of the backlog a call that waits for the connection takes, in bytes.
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <deque>
+#include <optional>
 #include <random>
 #include <utility>
+#include <vector>
 
 #include <asio/dispatch.hpp>
 #include <asio/post.hpp>
@@ -61,6 +63,9 @@
 
   void arm_timer();
   void handle_timer();
+  time_point silence_check() const;
+  void check_silence(time_point now);
+  void send_probe(time_point now);
 
   peer_executor executor_;
   peer_address address_;
@@ -83,6 +88,10 @@
   std::deque<std::uint64_t> unsent_;
   std::size_t unsent_bytes_ = 0;
   std::uint64_t last_sent_ = 0;
+  // When the last frame came, or the first of the present calls was sent.
+  time_point last_sign_{};
+  std::optional<time_point> probe_sent_;
+  bool is_silent_ = false;
   deadline_heap deadlines_;
   peer_timer timer_;
   time_point armed_until_ = time_point::max();
@@ -134,7 +143,7 @@
   const std::uint64_t correlation = request.correlation;
   const time_point now = monotonic_now();
   last_used_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
-  pending_call call{request.id, deadline, std::move(callback), nullptr, 0};
+  pending_call call{request.id, deadline, std::move(callback), nullptr, 0, request.idempotent};
   const auto refuse = [&](result_code code) {
     finish_later(correlation, std::move(call), outcome::not_run, code);
   };
@@ -144,7 +153,7 @@
   if (deadline <= now) {
     return refuse(result_code::deadline_exceeded);
   }
-  const bool is_down = state_ == link_state::idle && now < backoff_until_;
+  const bool is_down = (state_ == link_state::idle && now < backoff_until_) || is_silent_;
   if (state_ == link_state::stopped || retired_ || is_down) {
     return refuse(result_code::peer_unreachable);
   }
@@ -155,6 +164,9 @@
   }
   sweep_deadlines(deadlines_, calls_);
   deadlines_.push({deadline, correlation});
+  if (calls_.empty()) {
+    last_sign_ = now;
+  }
   pending_call& kept = calls_.emplace(correlation, std::move(call)).first->second;
   if (state_ == link_state::open) {
     write_call(kept, request);
@@ -254,6 +266,9 @@
 }
 
 void link_to_peer::handle_frame(wire::frame frame) {
+  last_sign_ = monotonic_now();
+  probe_sent_.reset();
+  is_silent_ = false;
   if (auto* reply = std::get_if<wire::call_reply>(&frame); reply && state_ == link_state::open) {
     handle_reply(std::move(*reply));
     return;
@@ -307,6 +322,8 @@
 
 void link_to_peer::handle_closed(result_code reason) {
   const auto channel = std::exchange(channel_, nullptr);
+  probe_sent_.reset();
+  is_silent_ = false;
   if (state_ != link_state::open) {
     const bool is_refused = reason == result_code::peer_not_authenticated;
     fail_connecting(is_refused ? reason : result_code::peer_unreachable);
@@ -358,6 +375,7 @@
   if (state_ == link_state::connecting || state_ == link_state::greeting) {
     target = std::min(target, connect_deadline_);
   }
+  target = std::min(target, silence_check());
   if (target >= armed_until_) {
     return;
   }
@@ -370,9 +388,58 @@
   });
 }
 
+// When the silence of the peer has to be looked at next.
+time_point link_to_peer::silence_check() const {
+  if (settings_.silence_timeout.count() == 0 || state_ != link_state::open || calls_.empty()) {
+    return time_point::max();
+  }
+  if (is_silent_) {
+    return last_sign_ + settings_.abandon_timeout;
+  }
+  return probe_sent_.value_or(last_sign_) + settings_.silence_timeout / 2;
+}
+
+void link_to_peer::send_probe(time_point now) {
+  wire::call_request probe;
+  probe.correlation = next_correlation_.fetch_add(1, std::memory_order_relaxed);
+  probe.probe = true;
+  channel_->send(probe);
+  last_sent_ = std::max(last_sent_, probe.correlation);
+  probe_sent_ = now;
+}
+
+void link_to_peer::check_silence(time_point now) {
+  if (silence_check() > now) {
+    return;
+  }
+  if (!probe_sent_) {
+    send_probe(now);
+    return;
+  }
+  if (!is_silent_) {
+    is_silent_ = true;
+    support::write_event(
+        support::log_level::warning, "peer", "a peer is silent",
+        {{"address", address_.address().to_string()}, {"calls", std::to_string(calls_.size())}});
+    std::vector<std::uint64_t> repeatable;
+    for (const auto& [correlation, call] : calls_) {
+      if (call.idempotent) {
+        repeatable.push_back(correlation);
+      }
+    }
+    for (const auto correlation : repeatable) {
+      give_up(correlation, result_code::peer_stalled);
+    }
+  }
+  if (channel_ && (calls_.empty() || last_sign_ + settings_.abandon_timeout <= now)) {
+    channel_->close(result_code::peer_stalled);
+  }
+}
+
 void link_to_peer::handle_timer() {
   armed_until_ = time_point::max();
   const time_point now = monotonic_now();
+  check_silence(now);
   const bool is_connecting = state_ == link_state::connecting || state_ == link_state::greeting;
   if (is_connecting && connect_deadline_ <= now) {
     if (channel_) {
--- a/lib/net/peer_session.cpp
+++ b/lib/net/peer_session.cpp
@@ -127,6 +127,13 @@
 
 void session::handle_call(wire::call_request request) {
   const std::uint64_t correlation = request.correlation;
+  if (request.probe) {
+    auto reply = made_reply(outcome::completed, result_code::ok);
+    reply.correlation = correlation;
+    reply.id = request.id;
+    channel_->send(reply);
+    return;
+  }
   if (calls_.size() >= core_->settings.max_calls) {
     auto reply = made_reply(outcome::not_run, result_code::queue_full);
     reply.correlation = correlation;
--- a/tools/acaciactl/daemon_commands.cpp
+++ b/tools/acaciactl/daemon_commands.cpp
@@ -9,7 +9,8 @@
 #include <asio/io_context.hpp>
 
 #include "absl/strings/str_cat.h"
-#include "acaciasill/net/backend_client.h"
+#include "acaciasill/net/http_client.h"
+#include "acaciasill/net/peer_settings.h"
 #include "acaciasill/net/platform_protocol.h"
 #include "acaciasill/support/result_code.h"
 
@@ -22,6 +23,30 @@
 constexpr std::uint16_t status_not_found = 404;
 constexpr std::string_view status_path = "/acaciasill/status";
 
+// Where "http://ip:port/path" leads.
+struct daemon_place {
+  net::peer_address address;
+  // What stands before the path of each page; mostly empty.
+  std::string path;
+};
+
+absl::StatusOr<daemon_place> parse_daemon_url(std::string_view url) {
+  constexpr std::string_view scheme = "http://";
+  if (url.substr(0, scheme.size()) == scheme) {
+    url.remove_prefix(scheme.size());
+  }
+  const auto slash = std::min(url.find('/'), url.size());
+  const auto address = net::parse_peer_address(url.substr(0, slash));
+  if (!address.ok()) {
+    return address.status();
+  }
+  auto path = url.substr(slash);
+  while (!path.empty() && path.back() == '/') {
+    path.remove_suffix(1);
+  }
+  return daemon_place{*address, std::string(path)};
+}
+
 } // namespace
 
 absl::StatusOr<json> ask_daemon(const invocation& asked, const std::string& path) {
@@ -29,18 +54,23 @@
     return support::make_error(result_code::bad_command_line, "--daemon URL is needed");
   }
   asio::io_context context(1);
-  net::backend_client client(context, 1, max_answer_bytes);
-  std::optional<net::backend_response> response;
-  net::backend_request request;
-  request.url = asked.daemon_url + path;
+  net::http_client client(context, 1, max_answer_bytes);
+  std::optional<net::client_response> response;
+  net::client_request request;
+  const auto place = parse_daemon_url(asked.daemon_url);
+  if (!place.ok()) {
+    return place.status();
+  }
+  request.address = place->address;
+  request.target = place->path + path;
   request.method = "GET";
   request.timeout = asked.timeout;
-  client.send(request, [&](net::backend_response answer) {
+  client.send(request, [&](net::client_response answer) {
     response = std::move(answer);
     context.stop();
   });
   context.run();
-  if (!response || response->end != net::backend_end::answered) {
+  if (!response || response->end != net::exchange_end::answered) {
     return support::make_error(result_code::peer_unreachable, asked.daemon_url);
   }
   if (response->status == status_not_found) {
--- a/unittests/daemon/backend_registry_test.cpp
+++ b/unittests/daemon/backend_registry_test.cpp
@@ -26,7 +26,7 @@
   backend_registry registry(
       board, milliseconds(1000),
       {[&](const backend_announcement&, bool is_new) { changes += is_new; }, [&] { ++losses; }});
-  const backend_announcement announcement{"front", "127.0.0.1:1", 4, 8, false, 1};
+  const backend_announcement announcement{"front", "127.0.0.1:1", "", 4, 8, false, 1};
   const support::time_point start{};
   registry.announce(announcement, start);
   registry.announce(announcement, start + milliseconds(900));
@@ -41,5 +41,5 @@
   registry.announce(announcement, start + milliseconds(2000));
   CHECK(changes == 2);
   const board::rcu_read_guard guard;
-  CHECK(board.backend.read(guard).base_url == "http://127.0.0.1:1");
+  CHECK(board.backend.read(guard).address == "127.0.0.1:1");
 }
--- a/unittests/daemon/entry_request_test.cpp
+++ b/unittests/daemon/entry_request_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon/entry_request.h"
+#include "acaciasill/daemon/entry_request.h"
 
 #include <catch2/catch.hpp>
 
--- a/unittests/daemon/upstream_exchange_test.cpp
+++ b/unittests/daemon/upstream_exchange_test.cpp
@@ -4,13 +4,13 @@
 
 using namespace acaciasill;
 using namespace acaciasill::daemon;
-using net::backend_end;
+using net::exchange_end;
 using support::result_code;
 using wire::outcome;
 
 namespace {
 
-wire::call_reply interpret(backend_end end, std::uint16_t status = 0,
+wire::call_reply interpret(exchange_end end, std::uint16_t status = 0,
                            std::vector<wire::header_field> headers = {}) {
   return interpret_response({end, status, std::move(headers), "body"}, false);
 }
@@ -18,20 +18,20 @@
 } // namespace
 
 TEST_CASE("not-run is said only where nothing was sent or the server said that it did not start") {
-  CHECK(interpret(backend_end::not_sent).outcome == outcome::not_run);
-  const auto shed = interpret(backend_end::answered, 503, {{"X-Not-Started", "true"}});
+  CHECK(interpret(exchange_end::not_sent).outcome == outcome::not_run);
+  const auto shed = interpret(exchange_end::answered, 503, {{"X-Not-Started", "true"}});
   CHECK(shed.outcome == outcome::not_run);
   CHECK(shed.code == result_code::backend_shed);
-  CHECK(interpret(backend_end::answered, 503).outcome == outcome::failed);
-  CHECK(interpret(backend_end::answered, 200, {{"x-not-started", "true"}}).outcome ==
+  CHECK(interpret(exchange_end::answered, 503).outcome == outcome::failed);
+  CHECK(interpret(exchange_end::answered, 200, {{"x-not-started", "true"}}).outcome ==
         outcome::completed);
-  for (const auto end : {backend_end::timed_out, backend_end::broken, backend_end::cancelled}) {
+  for (const auto end : {exchange_end::timed_out, exchange_end::broken, exchange_end::cancelled}) {
     CHECK(interpret(end).outcome == outcome::unknown);
   }
 }
 
 TEST_CASE("an answer keeps its status, body and own header fields") {
-  const auto reply = interpret(backend_end::answered, 404,
+  const auto reply = interpret(exchange_end::answered, 404,
                                {{"content-type", "a/b"}, {"connection", "close"}, {"x-own", "1"}});
   CHECK(reply.outcome == outcome::completed);
   CHECK(reply.http_status == 404);
