Route requests by host and longest prefix, split by weights

Cause: the platform's requests name a host and a path, and no service. Change: objects of the kind host_route with targets, timeout, target latency and attempts; the canonical form of a set rises to 2, since it has one more list. Limits can take the reported slots as they are. Ruled out: routes without a slash at the end of the prefix; the platform has none, and a lookup by each slash of the path needs no search.

--- a/include/acaciasill/model/configuration.h
+++ b/include/acaciasill/model/configuration.h
@@ -64,6 +64,13 @@
   double threshold_step = 0.1;
   // The largest part of a service's calls that may leave the local data centre.
   double spill_cap = 0.5;
+  // The part of an upstream's slots that is used; some servers slow down when all are.
+  double slot_use = 1.0;
+  // Whether an upstream's limit is learned from what its calls show, or taken as it is reported.
+  bool learns_limit = true;
+  // Whether a request's id travels with the calls that are made for it, so that every hop can shed
+  // the same requests. Where it does not, the entry sheds by what the calls below report.
+  bool ids_travel = true;
 
   bool operator==(const limits&) const = default;
 };
@@ -104,6 +111,28 @@
   bool operator==(const route&) const = default;
 };
 
+// How requests that name a host and a path, and no service, find their service. Among the routes of
+// a host the longest prefix that begins the path wins.
+struct host_route {
+  std::string name;
+  std::string host;
+  // Begins and ends with a slash.
+  std::string path_prefix = "/";
+  // The services that share the requests, each as "service=weight", or "service" for a weight of 1.
+  std::vector<std::string> targets;
+  std::string priority;
+  // Whether running a request twice does no harm.
+  bool idempotent = false;
+  // The longest time that a request may be kept waiting.
+  support::milliseconds timeout{30000};
+  // The time within which an answer is worth most to the caller.
+  support::milliseconds target_latency{1000};
+  // Upstreams to which one request may be sent.
+  std::uint32_t attempts = 2;
+
+  bool operator==(const host_route&) const = default;
+};
+
 // What callers outside the mesh may set for themselves.
 struct caller_policy {
   std::string name;
@@ -127,6 +156,7 @@
   std::vector<limits> limit_sets;
   std::vector<service> services;
   std::vector<route> routes;
+  std::vector<host_route> host_routes;
   std::vector<caller_policy> caller_policies;
 
   bool operator==(const configuration&) const = default;
--- a/include/acaciasill/model/object_fields.h
+++ b/include/acaciasill/model/object_fields.h
@@ -19,13 +19,15 @@
   limits,
   service,
   route,
+  host_route,
   caller_policy,
 };
 
 // The kind as it is written after "kind:".
 constexpr std::string_view kind_name(object_kind kind) {
-  constexpr std::string_view names[] = {"data_centre", "organisation", "priority",     "limits",
-                                        "service",     "route",        "caller_policy"};
+  constexpr std::string_view names[] = {"data_centre", "organisation", "priority",
+                                        "limits",      "service",      "route",
+                                        "host_route",  "caller_policy"};
   return names[static_cast<std::size_t>(kind)];
 }
 
@@ -73,6 +75,9 @@
   visitor.time_span("slow_start_ms", object.slow_start, support::milliseconds(0), max_deadline);
   visitor.number("threshold_step", object.threshold_step, 0.001, 1.0);
   visitor.number("spill_cap", object.spill_cap, 0.0, 1.0);
+  visitor.number("slot_use", object.slot_use, 0.1, 1.0);
+  visitor.flag("learns_limit", object.learns_limit);
+  visitor.flag("ids_travel", object.ids_travel);
 }
 
 template <typename Visitor>
@@ -98,6 +103,20 @@
   visitor.flag("claim_key", object.claim_key);
 }
 
+template <typename Visitor>
+void visit_fields(Visitor& visitor, host_route& object) {
+  visitor.text("name", object.name, presence::required);
+  visitor.text("host", object.host, presence::required);
+  visitor.text("path_prefix", object.path_prefix);
+  visitor.text_list("targets", object.targets);
+  visitor.text("priority", object.priority, presence::required);
+  // Never left to a default, since a wrong guess would run a request twice.
+  visitor.flag("idempotent", object.idempotent, presence::required);
+  visitor.time_span("timeout_ms", object.timeout, min_time_span, max_deadline);
+  visitor.time_span("target_latency_ms", object.target_latency, min_time_span, max_deadline);
+  visitor.integer("attempts", object.attempts, 1, max_spare_attempts);
+}
+
 template <typename Visitor>
 void visit_fields(Visitor& visitor, caller_policy& object) {
   visitor.text("name", object.name, presence::required);
@@ -116,6 +135,7 @@
   function(object_kind::limits, set.limit_sets);
   function(object_kind::service, set.services);
   function(object_kind::route, set.routes);
+  function(object_kind::host_route, set.host_routes);
   function(object_kind::caller_policy, set.caller_policies);
 }
 
--- a/include/acaciasill/model/snapshot.h
+++ b/include/acaciasill/model/snapshot.h
@@ -42,6 +42,46 @@
   bool operator==(const compiled_route&) const = default;
 };
 
+// A part of the requests of a host route, and the service that takes it.
+struct route_target {
+  std::string service;
+  // The part among the weights of all targets; 0 for none.
+  std::uint32_t weight = 1;
+
+  bool operator==(const route_target&) const = default;
+};
+
+// The largest weight of a target.
+inline constexpr std::uint32_t max_target_weight = 1000000;
+
+// Reads "service=weight" or "service"; nothing where it is neither.
+std::optional<route_target> parse_target(std::string_view text);
+
+// A service that takes a part of a host route's requests.
+struct compiled_target {
+  service_index service = 0;
+  std::uint32_t weight = 1;
+
+  bool operator==(const compiled_target&) const = default;
+};
+
+// A host route with its names resolved.
+struct compiled_host_route {
+  // The index of the route in the set's list of host routes.
+  std::uint32_t index = 0;
+  std::string host;
+  std::string path_prefix;
+  // Those with a weight above 0.
+  std::vector<compiled_target> targets;
+  std::uint8_t rank = 0;
+  bool idempotent = false;
+  support::milliseconds timeout{0};
+  support::milliseconds target_latency{0};
+  std::uint32_t attempts = 1;
+
+  bool operator==(const compiled_host_route&) const = default;
+};
+
 // A service with its names resolved.
 struct compiled_service {
   std::string name;
@@ -108,6 +148,10 @@
     return organisations_[index];
   }
 
+  // The route of the host whose prefix is the longest that begins the path; a query is left aside.
+  // Nothing where none fits.
+  const compiled_host_route* find_host_route(std::string_view host, std::string_view path) const;
+
   const std::vector<compiled_service>& services() const { return services_; }
   const std::vector<compiled_organisation>& organisations() const { return organisations_; }
 
@@ -124,6 +168,8 @@
   std::vector<compiled_service> services_;
   std::vector<compiled_organisation> organisations_;
   std::vector<compiled_caller_policy> caller_policies_;
+  // In the order of hosts; the routes of one host by rising prefix.
+  std::vector<compiled_host_route> host_routes_;
   name_index service_names_;
   name_index organisation_names_;
   name_index priority_names_;
--- a/lib/model/set_json.cpp
+++ b/lib/model/set_json.cpp
@@ -14,7 +14,7 @@
 using json = nlohmann::ordered_json;
 
 // The number of the form of the canonical JSON. It rises when a field is added or changes.
-constexpr int set_format = 1;
+constexpr int set_format = 2;
 constexpr std::string_view format_key = "format";
 
 // Writes the fields of one object in the order in which they are visited.
@@ -300,6 +300,7 @@
   compare(object_kind::limits, &configuration::limit_sets);
   compare(object_kind::service, &configuration::services);
   compare(object_kind::route, &configuration::routes);
+  compare(object_kind::host_route, &configuration::host_routes);
   compare(object_kind::caller_policy, &configuration::caller_policies);
   return changes;
 }
--- a/lib/model/snapshot.cpp
+++ b/lib/model/snapshot.cpp
@@ -1,7 +1,9 @@
 #include "acaciasill/model/snapshot.h"
 
 #include <algorithm>
+#include <charconv>
 #include <iterator>
+#include <tuple>
 #include <utility>
 
 #include "acaciasill/model/validation.h"
@@ -87,6 +89,25 @@
   return names.find(name).value();
 }
 
+compiled_host_route compile_host_route(const host_route& each, std::uint32_t index,
+                                       std::uint8_t rank, const name_index& services) {
+  compiled_host_route compiled;
+  compiled.index = index;
+  compiled.host = each.host;
+  compiled.path_prefix = each.path_prefix;
+  compiled.rank = rank;
+  compiled.idempotent = each.idempotent;
+  compiled.timeout = each.timeout;
+  compiled.target_latency = each.target_latency;
+  compiled.attempts = each.attempts;
+  for (const auto& text : each.targets) {
+    if (const auto target = parse_target(text); target && target->weight > 0) {
+      compiled.targets.push_back({must_find(services, target->service), target->weight});
+    }
+  }
+  return compiled;
+}
+
 } // namespace
 
 std::optional<service_index> snapshot::find_service(std::string_view name) const {
@@ -125,6 +146,41 @@
   return {std::nullopt, target.default_rank, is_idempotent_method(method), false};
 }
 
+std::optional<route_target> parse_target(std::string_view text) {
+  const auto equals = text.rfind('=');
+  if (equals == std::string_view::npos) {
+    return text.empty() ? std::nullopt : std::optional(route_target{std::string(text), 1});
+  }
+  const auto number = text.substr(equals + 1);
+  std::uint32_t weight = 0;
+  const auto [end, problem] = std::from_chars(number.data(), number.data() + number.size(), weight);
+  if (problem != std::errc() || end != number.data() + number.size() || equals == 0 ||
+      weight > max_target_weight) {
+    return std::nullopt;
+  }
+  return route_target{std::string(text.substr(0, equals)), weight};
+}
+
+const compiled_host_route* snapshot::find_host_route(std::string_view host,
+                                                     std::string_view path) const {
+  const auto plain_path = path.substr(0, path.find('?'));
+  const auto key_of = [](const compiled_host_route& each) {
+    return std::pair<std::string_view, std::string_view>(each.host, each.path_prefix);
+  };
+  // Prefixes end with a slash, so that each candidate is the path up to one of its slashes.
+  for (auto end = plain_path.rfind('/'); end != std::string_view::npos;
+       end = end == 0 ? std::string_view::npos : plain_path.rfind('/', end - 1)) {
+    const std::pair wanted(host, plain_path.substr(0, end + 1));
+    const auto found = std::lower_bound(
+        host_routes_.begin(), host_routes_.end(), wanted,
+        [&](const compiled_host_route& each, const auto& key) { return key_of(each) < key; });
+    if (found != host_routes_.end() && key_of(*found) == wanted) {
+      return &*found;
+    }
+  }
+  return nullptr;
+}
+
 absl::StatusOr<snapshot> compile_snapshot(configuration set) {
   normalise(set);
   if (const auto findings = validate(set, {}, "set"); !findings.empty()) {
@@ -170,6 +226,16 @@
     result.caller_policies_.push_back(
         {each, result.organisation_names_.find(each.default_organisation)});
   }
+  for (std::uint32_t i = 0; i < set.host_routes.size(); ++i) {
+    const auto& each = set.host_routes[i];
+    result.host_routes_.push_back(
+        compile_host_route(each, i, rank_of(each.priority), result.service_names_));
+  }
+  std::sort(result.host_routes_.begin(), result.host_routes_.end(),
+            [](const compiled_host_route& left, const compiled_host_route& right) {
+              return std::tie(left.host, left.path_prefix) <
+                     std::tie(right.host, right.path_prefix);
+            });
   result.set_ = std::move(set);
   return result;
 }
--- a/lib/model/validation.cpp
+++ b/lib/model/validation.cpp
@@ -8,8 +8,10 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "acaciasill/model/snapshot.h"
 #include "call_graph.h"
 #include "finding_log.h"
+#include "host_route_check.h"
 #include "route_check.h"
 
 namespace acaciasill::model {
@@ -46,7 +48,8 @@
 
 void check_needed_objects(const configuration& set, finding_log& log) {
   for_each_kind(set, [&](object_kind kind, const auto& objects) {
-    const bool needed = kind != object_kind::route && kind != object_kind::caller_policy;
+    const bool needed = kind != object_kind::route && kind != object_kind::host_route &&
+                        kind != object_kind::caller_policy;
     if (needed && objects.empty()) {
       log.add_to_set(result_code::object_missing, kind_name(kind));
     }
@@ -85,6 +88,14 @@
     expect(services, object_kind::route, each.name, "service", each.service);
     expect(priorities, object_kind::route, each.name, "priority", each.priority);
   }
+  for (const auto& each : set.host_routes) {
+    for (const auto& target : each.targets) {
+      if (const auto parsed = parse_target(target)) {
+        expect(services, object_kind::host_route, each.name, "targets", parsed->service);
+      }
+    }
+    expect(priorities, object_kind::host_route, each.name, "priority", each.priority);
+  }
   for (const auto& each : set.caller_policies) {
     if (!each.default_organisation.empty()) {
       expect(organisations, object_kind::caller_policy, each.name, "default_organisation",
@@ -163,6 +174,7 @@
   check_limits(set, log);
   check_call_graph(set, log);
   check_routes(set, log);
+  check_host_routes(set, log);
   return log.take();
 }
 
--- a/unittests/model/set_json_test.cpp
+++ b/unittests/model/set_json_test.cpp
@@ -93,13 +93,13 @@
     other.replace(other.find(from), from.size(), to);
     return code_of(parse_set(other).status());
   };
-  CHECK(changed("\"format\":1", "\"format\":2") == result_code::bad_yaml);
+  CHECK(changed("\"format\":2", "\"format\":3") == result_code::bad_yaml);
   CHECK(changed("\"slots\":100", "\"slots\":0") == result_code::out_of_range);
   CHECK(changed("\"slots\":100", "\"slots\":18446744073709551615") == result_code::out_of_range);
   CHECK(changed("\"slots\":100", "\"slots\":\"x\"") == result_code::wrong_type);
   CHECK(changed("\"slots\":100,", "") == result_code::missing_key);
   CHECK(changed("\"slots\":100", "\"slots\":100,\"more\":1") == result_code::unknown_key);
-  CHECK(changed("\"format\":1", "\"format\":1,\"more\":1") == result_code::unknown_key);
+  CHECK(changed("\"format\":2", "\"format\":2,\"more\":1") == result_code::unknown_key);
 }
 
 TEST_CASE("the difference names objects and fields") {
