--- /dev/null
+++ b/unittests/control/directory_test.cpp
@@ -0,0 +1,118 @@
+#include "acaciasill/control/directory.h"
+
+#include <catch2/catch.hpp>
+
+#include "control/table_fixture.h"
+
+using namespace acaciasill::control;
+
+namespace {
+
+directory_entry entry(const std::string& address, serving_state state = serving_state::ready) {
+  return {address, "n", "dc", "pricing", "i-1", 7, 36, state};
+}
+
+struct test_directory {
+  explicit test_directory(manual_store& platform)
+      : members("10.0.0.1:1", {directory_table, {}, {}, {}}, platform.store, platform.after(), 1,
+                {[this] { ++changes; }, [](bool, store_end) {},
+                 [this](const stored_row&, const absl::Status&) { ++unreadable; },
+                 [](const directory_entry&, store_end) {}}) {
+    members.start();
+    platform.answer();
+  }
+
+  // The own row as the store holds it.
+  static directory_entry stored(manual_store& platform) {
+    const auto& row = platform.rows[directory_table].at("10.0.0.1:1");
+    return decode_entry(row.key, row.value).value();
+  }
+
+  int changes = 0;
+  int unreadable = 0;
+  directory members;
+};
+
+} // namespace
+
+TEST_CASE("an entry comes back whole from its row, and other text is refused") {
+  const auto whole = entry("10.0.0.1:1", serving_state::leaving);
+  CHECK(decode_entry(whole.call_address, encode_entry(whole)).value() == whole);
+  for (const auto* text : {"", "{}", "[1]", R"({"n":1})", "\xff\xfe"}) {
+    CHECK_FALSE(decode_entry("10.0.0.1:1", text).ok());
+  }
+}
+
+TEST_CASE("a daemon writes its row once for each change, and not again without one") {
+  manual_store platform;
+  test_directory own(platform);
+  own.members.set_own(entry("10.0.0.1:1"));
+  own.members.set_own(entry("10.0.0.1:1"));
+  platform.answer();
+  platform.answer_changes();
+  CHECK(platform.writes == 1);
+  own.members.set_own(entry("10.0.0.1:1", serving_state::leaving));
+  platform.answer();
+  CHECK(platform.writes == 2);
+  CHECK(test_directory::stored(platform).state == serving_state::leaving);
+}
+
+TEST_CASE("a write of the own row whose answer was lost is settled by the conflict that follows") {
+  manual_store platform;
+  test_directory own(platform);
+  platform.loses_answers = true;
+  own.members.set_own(entry("10.0.0.1:1"));
+  platform.answer();
+  platform.loses_answers = false;
+  own.members.set_own(entry("10.0.0.1:1", serving_state::leaving));
+  platform.pass_time();
+  CHECK(test_directory::stored(platform).state == serving_state::leaving);
+}
+
+TEST_CASE("a row that lapsed in the store is written again") {
+  manual_store platform;
+  test_directory own(platform);
+  own.members.set_own(entry("10.0.0.1:1"));
+  platform.answer();
+  platform.remove(directory_table, "10.0.0.1:1");
+  platform.answer_changes();
+  CHECK(test_directory::stored(platform) == entry("10.0.0.1:1"));
+  CHECK_FALSE(platform.rows[directory_table].at("10.0.0.1:1").removed);
+}
+
+TEST_CASE("what an earlier process wrote is found before it is replaced") {
+  manual_store platform;
+  platform.put(directory_table, "10.0.0.1:1",
+               encode_entry(entry("10.0.0.1:1", serving_state::leaving)));
+  test_directory own(platform);
+  REQUIRE(own.members.found_own());
+  CHECK(own.members.found_own()->state == serving_state::leaving);
+  own.members.set_own(entry("10.0.0.1:1"));
+  platform.answer();
+  CHECK(test_directory::stored(platform).state == serving_state::ready);
+}
+
+TEST_CASE("a row that cannot be read is skipped and the others hold") {
+  manual_store platform;
+  platform.put(directory_table, "10.0.0.2:1", encode_entry(entry("10.0.0.2:1")));
+  platform.put(directory_table, "10.0.0.3:1", "not a row");
+  test_directory own(platform);
+  CHECK(own.unreadable == 1);
+  CHECK(own.members.entries().size() == 1);
+  CHECK(view_of(own.members.entries(), 1).members.size() == 1);
+}
+
+TEST_CASE("only entries that take work are routed to") {
+  manual_store platform;
+  platform.put(directory_table, "10.0.0.2:1", encode_entry(entry("10.0.0.2:1")));
+  platform.put(directory_table, "10.0.0.3:1",
+               encode_entry(entry("10.0.0.3:1", serving_state::leaving)));
+  platform.put(directory_table, "10.0.0.4:1",
+               encode_entry(entry("10.0.0.4:1", serving_state::absent)));
+  platform.put(directory_table, "10.0.0.5:1",
+               encode_entry(entry("10.0.0.5:1", serving_state::stopping)));
+  test_directory own(platform);
+  const auto view = view_of(own.members.entries(), 1);
+  REQUIRE(view.members.size() == 1);
+  CHECK(view.members.front().call_address == "10.0.0.2:1");
+}
