--- a/include/acaciasill/daemon/entry_calls.h
+++ b/include/acaciasill/daemon/entry_calls.h
@@ -21,6 +21,7 @@
 namespace acaciasill::daemon {
 
 class call_metrics;
+struct edge_protocol;
 class upstream_calls;
 struct request_thread;
 
@@ -34,6 +35,7 @@
   operating_mode mode = operating_mode::protect;
   // The "ip:port" under which this daemon takes calls of others; calls to it stay in the process.
   std::string own_call_address;
+  const edge_protocol* protocol = nullptr;
 };
 
 // The prefix of every call's path; the service's name follows.
--- a/include/acaciasill/daemon/process_metrics.h
+++ b/include/acaciasill/daemon/process_metrics.h
@@ -15,7 +15,10 @@
 // Figures of the daemon as a whole, beside those of calls.
 namespace acaciasill::daemon {
 
-// The upstream's limit and load, and the control part's traffic.
+// The upstream's limit and load.
+std::vector<prometheus::MetricFamily> collect_call_gauges(const board::call_board& board);
+
+// The same, and the gossip's traffic.
 std::vector<prometheus::MetricFamily> collect_process_metrics(const board::call_board& board,
                                                               const net::gossip_counters& gossip);
 
--- a/include/acaciasill/daemon/request_thread.h
+++ b/include/acaciasill/daemon/request_thread.h
@@ -10,7 +10,7 @@
 #include <asio/io_context.hpp>
 
 #include "acaciasill/daemon/trace.h"
-#include "acaciasill/net/backend_client.h"
+#include "acaciasill/net/http_client.h"
 #include "acaciasill/support/hash.h"
 #include "acaciasill/support/random.h"
 
@@ -33,7 +33,7 @@
   // Signs the contexts that the local backend server passes back.
   support::hmac_signer signer;
   trace_ring traces;
-  std::unique_ptr<net::backend_client> backend;
+  std::unique_ptr<net::http_client> backend;
   std::thread thread;
 };
 
--- a/include/acaciasill/daemon/upstream_calls.h
+++ b/include/acaciasill/daemon/upstream_calls.h
@@ -19,9 +19,16 @@
 namespace acaciasill::daemon {
 
 class call_metrics;
+struct edge_protocol;
 struct key_claims;
 struct request_thread;
 
+// What the control part is told of the local backend server, from any request thread.
+struct backend_observer {
+  // A request to it ended; whether the server was reached at all.
+  std::function<void(bool reached)> on_exchange = [](bool) {};
+};
+
 using upstream_reply = std::function<void(wire::call_reply)>;
 
 // What the calls of one daemon share.
@@ -32,6 +39,8 @@
   // Claims of idempotency keys; none without a platform.
   key_claims* claims = nullptr;
   operating_mode mode = operating_mode::protect;
+  const edge_protocol* protocol = nullptr;
+  backend_observer observer;
 };
 
 // Serves calls for the local backend server. serve and cancel run on the thread that they name; the
@@ -56,6 +65,10 @@
   // Tells when the local backend server announced itself, for slow start. From any thread.
   void backend_announced(bool cold);
 
+  // Tells that the local backend server takes no more work: calls that wait for it are refused, so
+  // that they go elsewhere. From any thread.
+  void backend_gone();
+
 private:
   struct implementation;
   std::unique_ptr<implementation> implementation_;
--- a/include/acaciasill/decide/concurrency_limit.h
+++ b/include/acaciasill/decide/concurrency_limit.h
@@ -15,6 +15,10 @@
   std::uint32_t slots = 100;
   // The time over which a cold upstream is brought to its full limit.
   support::duration slow_start = support::milliseconds(2000);
+  // The part of the slots that is used.
+  double slot_use = 1.0;
+  // Whether the limit follows what calls show; else it is the reported slots.
+  bool learns = true;
 
   bool operator==(const limit_settings&) const = default;
 };
--- a/include/acaciasill/decide/gate.h
+++ b/include/acaciasill/decide/gate.h
@@ -40,6 +40,8 @@
   double threshold_step = 0.1;
   // The part of queue_target below which the upstream recovers; between the two nothing opens.
   double exit_part = 0.5;
+  // Whether thresholds of levels are adjusted; levels say nothing where ids do not travel.
+  bool adjusts_thresholds = true;
 
   bool operator==(const gate_view&) const = default;
 };
--- a/include/acaciasill/decide/parents.h
+++ b/include/acaciasill/decide/parents.h
@@ -26,6 +26,8 @@
   std::atomic<bool> overloaded_below{false};
   // Whether a child call has completed, so that the request holds finished work.
   std::atomic<bool> holds_finished_work{false};
+  // The rank of the request's priority class, which the calls made for it have too.
+  std::atomic<std::uint8_t> rank{0};
 };
 
 // The table, made for at least this many calls that run at once.
@@ -60,7 +62,8 @@
 // Enters a call that starts in the local backend server with the attempts lent to it; nothing where
 // the table is full, and its attempts are then spent.
 std::optional<parent_ref> open_parent(parent_table& table, const request_id& id,
-                                      std::uint32_t lent_attempts, bool holds_finished_work);
+                                      std::uint32_t lent_attempts, bool holds_finished_work,
+                                      std::uint8_t rank = 0);
 
 // The running call of a request, for a child call that the backend server makes.
 std::optional<parent_ref> find_parent(const parent_table& table, const request_id& id);
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -17,6 +17,7 @@
 #include "acaciasill/board/call_board.h"
 #include "acaciasill/daemon/admin_pages.h"
 #include "acaciasill/daemon/call_metrics.h"
+#include "acaciasill/daemon/call_plane.h"
 #include "acaciasill/daemon/claim_loop.h"
 #include "acaciasill/daemon/control_loop.h"
 #include "acaciasill/daemon/entry_calls.h"
@@ -41,22 +42,6 @@
 constexpr support::milliseconds housekeeping_period{50};
 // The time for which a leaving daemon still answers on open connections once nothing is in flight.
 constexpr support::milliseconds close_grace{300};
-constexpr std::uint32_t default_backend_connections = 750;
-constexpr std::size_t secret_bytes = 32;
-
-std::uint64_t random_seed() {
-  std::random_device device;
-  return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
-std::string random_secret() {
-  std::random_device device;
-  std::string secret;
-  while (secret.size() < secret_bytes) {
-    secret.push_back(static_cast<char>(device()));
-  }
-  return secret;
-}
 
 // Splits "ip:port"; both parts were checked before.
 net::http_server_settings http_settings(const daemon_settings& settings,
@@ -69,29 +54,25 @@
   return result;
 }
 
-std::string to_text(const net::peer_address& address) {
-  return address.address().to_string() + ":" + std::to_string(address.port());
+net::peer_settings peer_settings_of(const daemon_settings& settings) {
+  net::peer_settings result;
+  result.peer_key = settings.peer_key;
+  result.allow_unauthenticated = settings.allow_unauthenticated;
+  return result;
 }
 
 } // namespace
 
 struct daemon_process::implementation {
   explicit implementation(const daemon_settings& settings)
-      : settings_(settings), metrics_(settings.threads), control_context_(1),
-        signals_(control_context_), housekeeping_(control_context_),
-        close_timer_(control_context_) {
-    const std::string secret = random_secret();
-    for (std::size_t index = 0; index < settings.threads; ++index) {
-      threads_.push_back(std::make_unique<request_thread>(index, random_seed(), secret));
-    }
-  }
+      : settings_(settings), peer_settings_(peer_settings_of(settings)), metrics_(settings.threads),
+        plane_({settings.threads, settings.peer_listen, peer_settings_, settings.max_body_bytes,
+                settings.mode},
+               own_protocol(), board_, metrics_),
+        control_context_(1), signals_(control_context_), housekeeping_(control_context_),
+        close_timer_(control_context_) {}
 
-  ~implementation() {
-    stop_threads();
-    if (peers_) {
-      peers_->stop();
-    }
-  }
+  ~implementation() { plane_.stop_threads(); }
 
   absl::Status start() {
     curl_global_init(CURL_GLOBAL_ALL);
@@ -107,43 +88,15 @@
     if (auto status = open_http(); !status.ok()) {
       return status;
     }
-    start_threads();
+    plane_.start_threads();
     return absl::OkStatus();
   }
 
-  // Makes the call path and binds the address for other daemons.
+  // Binds the address for other daemons and makes the call path.
   absl::Status open_calls() {
-    peer_settings_.peer_key = settings_.peer_key;
-    peer_settings_.allow_unauthenticated = settings_.allow_unauthenticated;
-    const auto address = net::parse_peer_address(settings_.peer_listen);
-    if (!address.ok()) {
-      return address.status();
-    }
-    const auto contexts = request_contexts();
-    auto listener = net::peer_listener::listen(
-        contexts, *address, peer_settings_,
-        {[this](const net::call_key& key, wire::call_request request, net::call_responder respond) {
-           on_peer_call(key, std::move(request), std::move(respond));
-         },
-         [this](const net::call_key& key) { on_peer_cancel(key); }});
-    if (!listener.ok()) {
-      return listener.status();
-    }
-    listener_ = *std::move(listener);
-    call_address_ = to_text(listener_->address());
-    peers_ = std::make_unique<net::peer_pool>(contexts, peer_settings_);
-    make_call_path();
-    return absl::OkStatus();
-  }
-
-  void make_call_path() {
-    const auto connections =
-        std::max<std::size_t>(1, default_backend_connections / threads_.size());
-    for (auto& thread : threads_) {
-      thread->backend = std::make_unique<net::backend_client>(thread->context, connections,
-                                                              settings_.max_body_bytes);
+    if (auto status = plane_.open(); !status.ok()) {
+      return status;
     }
-    peer_calls_.resize(threads_.size());
     if (!settings_.platform_url.empty()) {
       // A restarted daemon is another holder, which the random part assures.
       const auto holder = settings_.name + "-" + std::to_string(random_seed());
@@ -152,13 +105,8 @@
           [this](const control::platform_request& request) { ask_platform(request); });
       claim_operations_ = claims_->operations();
     }
-    upstream_ = std::make_unique<upstream_calls>(
-        upstream_environment{&board_, thread_pointers(), &metrics_,
-                             claims_ ? &claim_operations_ : nullptr, settings_.mode});
-    entry_ = std::make_unique<entry_calls>(entry_environment{&board_, thread_pointers(), &metrics_,
-                                                             peers_.get(), upstream_.get(),
-                                                             settings_.mode, call_address_});
-    upstream_->start();
+    plane_.make_call_path(claims_ ? &claim_operations_ : nullptr, {});
+    return absl::OkStatus();
   }
 
   absl::Status open_control() {
@@ -201,7 +149,7 @@
     node.name = settings_.name;
     node.data_centre = settings_.data_centre;
     node.region = settings_.region;
-    node.call_address = call_address_;
+    node.call_address = plane_.call_address();
     node.gossip_address = gossip_->address();
     node.seeds = settings_.seeds;
     // A daemon with a folder of its own holds a configuration before it asks anybody.
@@ -235,7 +183,7 @@
 
   void on_backend_change(const backend_announcement& announcement, bool is_new) {
     if (is_new) {
-      upstream_->backend_announced(announcement.cold);
+      plane_.upstream().backend_announced(announcement.cold);
       support::write_log(log_level::info, "backend",
                          "the backend server of " + announcement.service + " announced itself");
       control_->handle(control::backend_announced{announcement.service, announcement.slots,
@@ -273,16 +221,10 @@
     if (!address.ok()) {
       return address.status();
     }
-    auto http = http_settings(settings_, *address);
-    const auto port = net::reserve_port(http.address, http.port);
-    if (!port.ok()) {
-      return port.status();
-    }
-    http.port = *port;
     admin_ = {&board_,
               &metrics_,
               &gossip_->counters(),
-              thread_pointers(),
+              plane_.threads(),
               settings_.name,
               settings_.data_centre,
               [this](const backend_announcement& announcement) { post_announcement(announcement); },
@@ -297,17 +239,12 @@
                   ask_key(organisation, key, callback);
                 });
               }};
-    for (auto& thread : threads_) {
-      auto server =
-          std::make_unique<net::http_server>(thread->context, http, callbacks_for(*thread));
-      if (auto status = server->open(); !status.ok()) {
-        return status;
-      }
-      servers_.push_back(std::move(server));
+    const auto status =
+        plane_.serve_http(http_settings(settings_, *address),
+                          [this](request_thread& home) { return callbacks_for(home); });
+    if (!status.ok()) {
+      return status;
     }
-    support::write_log(log_level::info, "http",
-                       "listening on " + http.address + ":" + std::to_string(http.port));
-    support::write_log(log_level::info, "peers", "listening on " + call_address_);
     support::write_log(log_level::info, "gossip", "listening on " + gossip_->address());
     return absl::OkStatus();
   }
@@ -319,7 +256,7 @@
             [this, &home](std::uint64_t connection) {
               // The notice may come from within a callback of the server itself.
               asio::post(home.context, [this, &home, connection] {
-                entry_->connection_closed(home, connection);
+                plane_.entry().connection_closed(home, connection);
               });
             }};
   }
@@ -332,7 +269,7 @@
       };
     }
     if (request.target.compare(0, sizeof(call_prefix) - 1, call_prefix) == 0) {
-      entry_->serve(home, std::move(request), std::move(respond));
+      plane_.entry().serve(home, std::move(request), std::move(respond));
       return;
     }
     serve_admin_page(admin_, home, request, std::move(respond));
@@ -354,57 +291,6 @@
     });
   }
 
-  // The thread that runs now, by the context that its event loop belongs to.
-  request_thread& this_thread() { return *threads_[current_thread_index]; }
-
-  void on_peer_call(const net::call_key& key, wire::call_request request,
-                    net::call_responder respond) {
-    auto& home = this_thread();
-    auto& calls = peer_calls_[home.index];
-    // The reply may come before serve returns; then there is nothing to remember.
-    auto replied = std::make_shared<bool>(false);
-    const auto id = upstream_->serve(
-        home, std::move(request),
-        [&calls, key, replied, respond = std::move(respond)](wire::call_reply reply) {
-          *replied = true;
-          calls.erase(key);
-          respond(std::move(reply));
-        });
-    if (!*replied) {
-      calls.emplace(key, id);
-    }
-  }
-
-  void on_peer_cancel(const net::call_key& key) {
-    auto& home = this_thread();
-    auto& calls = peer_calls_[home.index];
-    if (const auto found = calls.find(key); found != calls.end()) {
-      upstream_->cancel(home, found->second);
-    }
-  }
-
-  void start_threads() {
-    for (auto& thread : threads_) {
-      thread->thread = std::thread([&home = *thread] {
-        const board::rcu_reader_thread registration;
-        current_thread_index = home.index;
-        home.context.run();
-      });
-    }
-  }
-
-  void stop_threads() {
-    for (auto& thread : threads_) {
-      thread->work.reset();
-      thread->context.stop();
-    }
-    for (auto& thread : threads_) {
-      if (thread->thread.joinable()) {
-        thread->thread.join();
-      }
-    }
-  }
-
   void run() {
     const board::rcu_reader_thread registration;
     signals_.add(SIGTERM);
@@ -456,10 +342,7 @@
   }
 
   void on_ready_to_exit() {
-    listener_->stop_accepting();
-    for (std::size_t index = 0; index < servers_.size(); ++index) {
-      asio::post(threads_[index]->context, [server = servers_[index].get()] { server->close(); });
-    }
+    plane_.stop_accepting();
     wait_for_last_calls();
   }
 
@@ -478,56 +361,27 @@
     });
   }
 
-  std::vector<asio::io_context*> request_contexts() {
-    std::vector<asio::io_context*> contexts;
-    for (auto& thread : threads_) {
-      contexts.push_back(&thread->context);
-    }
-    return contexts;
-  }
-
-  std::vector<request_thread*> thread_pointers() {
-    std::vector<request_thread*> pointers;
-    for (auto& thread : threads_) {
-      pointers.push_back(thread.get());
-    }
-    return pointers;
-  }
-
-  using peer_call_table = std::map<net::call_key, std::uint64_t>;
-
-  static thread_local std::size_t current_thread_index;
-
   daemon_settings settings_;
   net::peer_settings peer_settings_;
   board::call_board board_;
   call_metrics metrics_;
-  std::vector<std::unique_ptr<request_thread>> threads_;
+  call_plane plane_;
   asio::io_context control_context_;
   asio::signal_set signals_;
   asio::steady_timer housekeeping_;
   asio::steady_timer close_timer_;
-  std::string call_address_;
-  std::vector<peer_call_table> peer_calls_;
-  std::unique_ptr<net::peer_listener> listener_;
-  std::unique_ptr<net::peer_pool> peers_;
   std::unique_ptr<claim_loop> claims_;
   key_claims claim_operations_;
-  std::unique_ptr<upstream_calls> upstream_;
-  std::unique_ptr<entry_calls> entry_;
   std::shared_ptr<net::gossip_socket> gossip_;
   std::unique_ptr<control_loop> control_;
   std::unique_ptr<backend_registry> registry_;
   admin_environment admin_;
-  std::vector<std::unique_ptr<net::http_server>> servers_;
   // Declared after all that its answers reach, so that it is destroyed first.
   std::unique_ptr<net::platform_client> platform_;
   std::optional<support::time_point> stop_deadline_;
   std::optional<std::uint64_t> reported_in_flight_;
 };
 
-thread_local std::size_t daemon_process::implementation::current_thread_index = 0;
-
 daemon_process::daemon_process(const daemon_settings& settings)
     : implementation_(std::make_unique<implementation>(settings)) {}
 
--- /dev/null
+++ b/lib/daemon/directory_daemon.cpp
@@ -0,0 +1,543 @@
+#include "acaciasill/daemon/directory_daemon.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <prometheus/text_serializer.h>
+
+#include "acaciasill/board/call_board.h"
+#include "acaciasill/control/directory.h"
+#include "acaciasill/control/table_follower.h"
+#include "acaciasill/daemon/call_metrics.h"
+#include "acaciasill/daemon/call_plane.h"
+#include "acaciasill/daemon/entry_calls.h"
+#include "acaciasill/daemon/process_metrics.h"
+#include "acaciasill/daemon/publishers.h"
+#include "acaciasill/daemon/request_thread.h"
+#include "acaciasill/support/log.h"
+#include "acaciasill/support/result_code.h"
+
+namespace acaciasill::daemon {
+namespace {
+
+using control::store_end;
+using support::log_level;
+using support::write_event;
+
+// How often silence, the end of a stop and the log are looked at.
+constexpr support::milliseconds housekeeping_period{100};
+// A backend server that is lost or not known yet is looked at this often.
+constexpr support::milliseconds probe_period{500};
+// A stop ends this long before the platform would kill the process.
+constexpr support::milliseconds stop_margin{250};
+// New work is refused this long after a stop began, so that what runs can end.
+constexpr support::milliseconds last_work_time{3000};
+// The time without any call after which a stop is over.
+constexpr support::milliseconds quiet_time{300};
+
+const char* name_of(store_end end) {
+  switch (end) {
+  case store_end::done:
+    return "done";
+  case store_end::conflict:
+    return "conflict";
+  case store_end::refused:
+    return "refused";
+  case store_end::history_gone:
+    return "history_gone";
+  case store_end::failed_before:
+    return "not_sent";
+  case store_end::unknown:
+    return "no_answer";
+  }
+  return "unknown";
+}
+
+const char* name_of(control::report_effect effect) {
+  switch (effect) {
+  case control::report_effect::none:
+    return "none";
+  case control::report_effect::stale:
+    return "stale";
+  case control::report_effect::new_life:
+    return "new_life";
+  case control::report_effect::returned:
+    return "returned";
+  case control::report_effect::figures:
+    return "figures";
+  case control::report_effect::leaves:
+    return "leaves";
+  }
+  return "none";
+}
+
+net::peer_settings peer_settings_for_directory() {
+  net::peer_settings settings;
+  // The platform's network is its own; nobody else reaches the ports between daemons.
+  settings.allow_unauthenticated = true;
+  // One round trip within a region takes a few milliseconds.
+  settings.connect_timeout = support::milliseconds(300);
+  settings.max_backoff = support::milliseconds(500);
+  // Cuts and power losses reset no connection.
+  settings.silence_timeout = support::milliseconds(600);
+  return settings;
+}
+
+net::http_server_settings listen_settings(const net::peer_address& address,
+                                          std::uint32_t max_body_bytes) {
+  net::http_server_settings settings;
+  settings.address = address.address().to_string();
+  settings.port = address.port();
+  settings.max_body_bytes = max_body_bytes;
+  return settings;
+}
+
+} // namespace
+
+struct directory_daemon::implementation {
+  implementation(asio::io_context& context, const directory_daemon_settings& settings,
+                 platform_adapter adapter)
+      : context_(context), settings_(settings), adapter_(std::move(adapter)),
+        metrics_(settings.threads),
+        plane_({settings.threads, settings.peer_listen, peer_settings_for_directory(),
+                settings.max_body_bytes, operating_mode::protect},
+               adapter_.protocol, board_, metrics_),
+        timer_(context), routing_{settings.name, settings.data_centre, {}} {}
+
+  ~implementation() { plane_.stop_threads(); }
+
+  absl::Status start() {
+    if (auto status = plane_.open(); !status.ok()) {
+      return status;
+    }
+    plane_.make_call_path(nullptr, {[this](bool reached) { on_exchange(reached); }});
+    const auto callers = net::parse_peer_address(settings_.callers_listen);
+    if (!callers.ok()) {
+      return callers.status();
+    }
+    const auto status =
+        plane_.serve_http(listen_settings(*callers, settings_.max_body_bytes),
+                          [this](request_thread& home) { return caller_callbacks(home); });
+    if (!status.ok()) {
+      return status;
+    }
+    if (auto opened = open_metrics(); !opened.ok()) {
+      return opened;
+    }
+    make_followers();
+    plane_.start_threads();
+    keep_house();
+    write_event(log_level::info, "daemon", "started",
+                {{"name", settings_.name},
+                 {"data_centre", settings_.data_centre},
+                 {"service", settings_.service},
+                 {"version", ACS_VERSION}});
+    return absl::OkStatus();
+  }
+
+  net::http_server_callbacks caller_callbacks(request_thread& home) {
+    return {[this, &home](net::http_request request, net::http_responder respond) {
+              last_request_.store(support::monotonic_now().time_since_epoch().count(),
+                                  std::memory_order_relaxed);
+              if (refuses_callers_.load(std::memory_order_relaxed)) {
+                respond(adapter_.protocol.answer_error(
+                    request, support::make_error(support::result_code::draining)));
+                return;
+              }
+              plane_.entry().serve(home, std::move(request), std::move(respond));
+            },
+            [this, &home](std::uint64_t connection) {
+              // The notice may come from within a callback of the server itself.
+              asio::post(home.context, [this, &home, connection] {
+                plane_.entry().connection_closed(home, connection);
+              });
+            }};
+  }
+
+  absl::Status open_metrics() {
+    const auto address = net::parse_peer_address(settings_.metrics_listen);
+    if (!address.ok()) {
+      return address.status();
+    }
+    metrics_server_ = std::make_unique<net::http_server>(
+        context_, listen_settings(*address, settings_.max_body_bytes),
+        net::http_server_callbacks{
+            [this](const net::http_request& /*request*/, const net::http_responder& respond) {
+              respond(metrics_page());
+            },
+            [](std::uint64_t) {}});
+    return metrics_server_->open();
+  }
+
+  net::http_response metrics_page() {
+    const prometheus::TextSerializer serializer;
+    auto families = metrics_.Collect();
+    for (auto& family : collect_call_gauges(board_)) {
+      families.push_back(std::move(family));
+    }
+    return {200,
+            {{"content-type", "text/plain; version=0.0.4; charset=utf-8"}},
+            serializer.Serialize(families),
+            false};
+  }
+
+  control::delayed_call delayed_call() {
+    return [this](support::duration delay, std::function<void()> function) {
+      auto timer = std::make_shared<asio::steady_timer>(context_, delay);
+      timer->async_wait([timer, function = std::move(function)](asio::error_code error) {
+        if (!error) {
+          function();
+        }
+      });
+    };
+  }
+
+  void make_followers() {
+    control::follower_settings members;
+    members.table = control::directory_table;
+    directory_ = std::make_unique<control::directory>(
+        plane_.call_address(), members, adapter_.store, delayed_call(), random_seed(),
+        control::directory_callbacks{
+            [this] { on_members(); },
+            [this](bool reached, store_end end) { on_contact("directory", reached, end); },
+            [](const control::stored_row& row, const absl::Status& status) {
+              write_event(log_level::warning, "directory", "skipped a row",
+                          {{"key", row.key},
+                           {"row_version", std::to_string(row.version)},
+                           {"reason", std::string(status.message())}});
+            },
+            [](const control::directory_entry& entry, store_end end) {
+              write_event(log_level::info, "directory", "wrote the own row",
+                          {{"instance", entry.instance},
+                           {"state", std::to_string(static_cast<int>(entry.state))},
+                           {"end", name_of(end)}});
+            }});
+    control::follower_settings configuration;
+    configuration.table = adapter_.configuration_table;
+    configuration_ = std::make_unique<control::table_follower>(
+        configuration, adapter_.store, delayed_call(), random_seed(),
+        control::follower_callbacks{
+            [this](const control::stored_row& row) { on_configuration_row(row); }, [] {},
+            [this](bool reached, store_end end) { on_contact("configuration", reached, end); }});
+    directory_->start();
+    configuration_->start();
+  }
+
+  void on_contact(const char* what, bool reached, store_end end) {
+    write_event(reached ? log_level::info : log_level::warning, "store",
+                reached ? "the store answers" : "the store does not answer",
+                {{"for", what}, {"end", name_of(end)}});
+  }
+
+  // What an earlier process of this daemon wrote down of its server.
+  void take_found_row() {
+    if (found_row_taken_ || !directory_ || !directory_->is_loaded()) {
+      return;
+    }
+    found_row_taken_ = true;
+    if (const auto& own = directory_->found_own()) {
+      const bool leaving = own->state == control::serving_state::leaving;
+      if (control::take_record(life_, own->instance, own->instance_start_ms, leaving)) {
+        write_event(log_level::info, "backend", "the store says that the backend server leaves",
+                    {{"instance", own->instance},
+                     {"directory_version", std::to_string(directory_->version())}});
+        publish_backend();
+      }
+    }
+  }
+
+  void on_configuration_row(const control::stored_row& row) {
+    if (row.key != adapter_.configuration_key || row.removed) {
+      return;
+    }
+    auto published = adapter_.read_configuration(row);
+    if (!published.ok()) {
+      write_event(log_level::error, "configuration", "a configuration cannot be read",
+                  {{"row_version", std::to_string(row.version)},
+                   {"reason", std::string(published.status().message())}});
+      return;
+    }
+    if (published->version <= version_in_force_) {
+      return;
+    }
+    const auto version = published->version;
+    const auto routes = published->set.host_routes.size();
+    published->set.generation = version;
+    if (const auto status = publish_configuration(board_, metrics_, std::move(published->set), "");
+        !status.ok()) {
+      write_event(
+          log_level::error, "configuration", "a configuration is refused",
+          {{"configuration", std::to_string(version)}, {"reason", std::string(status.message())}});
+      return;
+    }
+    write_event(log_level::info, "configuration", "in force",
+                {{"configuration", std::to_string(version)},
+                 {"before", std::to_string(version_in_force_)},
+                 {"row_version", std::to_string(row.version)},
+                 {"host_routes", std::to_string(routes)}});
+    version_in_force_ = version;
+    plane_.for_each_server([limits = published->caller_limits](net::http_server& server) {
+      server.set_limits(limits);
+    });
+    on_members();
+  }
+
+  void on_members() {
+    take_found_row();
+    publish_routing(board_, routing_,
+                    control::view_of(directory_->entries(), directory_->version()));
+  }
+
+  // Puts what is believed of the backend server in force here, and into the directory.
+  void publish_backend() {
+    const bool serving = control::may_serve(life_);
+    board::backend_target target;
+    if (serving) {
+      target = {true,
+                settings_.service,
+                adapter_.backend_address,
+                life_.report.instance,
+                life_.report.slots,
+                0};
+    }
+    {
+      const board::rcu_read_guard guard;
+      if (board_.backend.read(guard) == target && directory_published_) {
+        write_own_row();
+        return;
+      }
+    }
+    directory_published_ = true;
+    board_.backend.publish(std::make_unique<const board::backend_target>(target));
+    publish_admission(board_);
+    if (!serving) {
+      plane_.upstream().backend_gone();
+    }
+    write_own_row();
+  }
+
+  void write_own_row() {
+    control::directory_entry entry;
+    entry.call_address = plane_.call_address();
+    entry.name = settings_.name;
+    entry.data_centre = settings_.data_centre;
+    entry.service = settings_.service;
+    entry.instance = life_.report.instance;
+    entry.instance_start_ms = life_.report.start_ms;
+    entry.slots = life_.report.slots;
+    using control::backend_standing;
+    if (life_.standing == backend_standing::leaving) {
+      entry.state = control::serving_state::leaving;
+    } else if (stopping_since_) {
+      entry.state = control::serving_state::stopping;
+    } else if (control::may_serve(life_)) {
+      entry.state = control::serving_state::ready;
+    }
+    // A daemon that knows nothing yet leaves what an earlier process wrote.
+    if (life_.standing != backend_standing::unknown) {
+      directory_->set_own(entry);
+    }
+  }
+
+  void take_report(const control::backend_report& report) {
+    const auto effect = control::take_report(life_, report, support::monotonic_now());
+    if (effect == control::report_effect::none) {
+      return;
+    }
+    write_event(log_level::info, "backend", "report of the backend server",
+                {{"instance", report.instance},
+                 {"start_ms", std::to_string(report.start_ms)},
+                 {"sequence", std::to_string(report.sequence)},
+                 {"slots", std::to_string(report.slots)},
+                 {"draining", report.draining ? "true" : "false"},
+                 {"effect", name_of(effect)}});
+    if (effect == control::report_effect::new_life) {
+      plane_.upstream().backend_announced(report.warm_up_left.count() > 0);
+    }
+    publish_backend();
+  }
+
+  void take_departure(const std::string& instance, std::optional<std::uint64_t> start_ms) {
+    const bool news = control::take_departure(life_, instance, start_ms);
+    write_event(log_level::info, "backend", "the backend server has left",
+                {{"instance", instance}, {"news", news ? "true" : "false"}});
+    if (news) {
+      publish_backend();
+    }
+  }
+
+  // From any request thread.
+  void on_exchange(bool reached) {
+    if (reached && !last_exchange_failed_.load(std::memory_order_relaxed)) {
+      heard_of_backend_.store(true, std::memory_order_relaxed);
+      return;
+    }
+    last_exchange_failed_.store(!reached, std::memory_order_relaxed);
+    asio::post(context_, [this, reached] {
+      if (control::take_exchange(life_, reached, support::monotonic_now())) {
+        write_event(log_level::warning, "backend", "the backend server takes no connections",
+                    {{"instance", life_.report.instance}});
+        publish_backend();
+      }
+    });
+  }
+
+  void keep_house() {
+    timer_.expires_after(housekeeping_period);
+    timer_.async_wait([this](asio::error_code error) {
+      if (error) {
+        return;
+      }
+      const auto now = support::monotonic_now();
+      look_at_backend(now);
+      look_at_stop(now);
+      support::flush_log();
+      keep_house();
+    });
+  }
+
+  void look_at_backend(support::time_point now) {
+    if (heard_of_backend_.exchange(false, std::memory_order_relaxed)) {
+      control::take_exchange(life_, true, now);
+    }
+    if (control::check_silence(life_, now, settings_.silence_limit)) {
+      write_event(log_level::warning, "backend", "nothing was heard of the backend server",
+                  {{"instance", life_.report.instance}});
+      publish_backend();
+    }
+    using control::backend_standing;
+    const bool looks_for_it =
+        life_.standing == backend_standing::unknown || life_.standing == backend_standing::lost;
+    if (looks_for_it && version_in_force_ != 0 && !probing_ && now >= next_probe_) {
+      probing_ = true;
+      next_probe_ = now + probe_period;
+      adapter_.probe_backend([this](std::optional<backend_probe> probe) {
+        probing_ = false;
+        take_probe(probe);
+      });
+    }
+  }
+
+  void take_probe(const std::optional<backend_probe>& probe) {
+    using control::backend_standing;
+    const bool looks_for_it =
+        life_.standing == backend_standing::unknown || life_.standing == backend_standing::lost;
+    if (!probe || !probe->serving || probe->instance.empty() || !looks_for_it) {
+      return;
+    }
+    take_found_row();
+    if (life_.standing == backend_standing::leaving) {
+      return;
+    }
+    control::backend_report report = life_.report;
+    const bool same_life = report.instance == probe->instance;
+    report.instance = probe->instance;
+    report.start_ms = same_life ? report.start_ms : 0;
+    // The next report of the server itself counts again.
+    report.sequence = life_.report.sequence;
+    report.slots = probe->slots != 0 ? probe->slots : report.slots;
+    report.draining = false;
+    write_event(log_level::info, "backend", "the backend server was found by a probe",
+                {{"instance", report.instance}, {"slots", std::to_string(report.slots)}});
+    life_.report = report;
+    life_.standing = backend_standing::serving;
+    life_.last_heard = support::monotonic_now();
+    life_.refused_in_row = 0;
+    publish_backend();
+  }
+
+  bool is_ready() const { return version_in_force_ != 0 && !stopping_since_; }
+
+  void stop() {
+    if (stopping_since_) {
+      return;
+    }
+    stopping_since_ = support::monotonic_now();
+    write_event(log_level::info, "daemon", "stopping",
+                {{"calls_in_flight", std::to_string(board_.calls_in_flight.load())}});
+    board_.leaving.store(true, std::memory_order_release);
+    // Other daemons' calls go elsewhere from now on.
+    board_.gate.draining.store(true, std::memory_order_release);
+    plane_.for_each_server([](net::http_server& server) { server.set_draining(); });
+    write_own_row();
+  }
+
+  void look_at_stop(support::time_point now) {
+    if (!stopping_since_) {
+      return;
+    }
+    const auto elapsed = now - *stopping_since_;
+    if (elapsed > std::min(last_work_time, settings_.stop_time / 2)) {
+      refuses_callers_.store(true, std::memory_order_relaxed);
+    }
+    const auto in_flight = board_.calls_in_flight.load(std::memory_order_acquire);
+    const support::time_point last_request{
+        support::duration(last_request_.load(std::memory_order_relaxed))};
+    const bool noticed = elapsed > settings_.notice_time;
+    const bool quiet = in_flight == 0 && now - last_request > quiet_time;
+    if ((noticed && quiet) || elapsed > settings_.stop_time - stop_margin) {
+      write_event(in_flight == 0 ? log_level::info : log_level::warning, "daemon", "stopped",
+                  {{"calls_cut_off", std::to_string(in_flight)}});
+      support::flush_log();
+      plane_.stop_accepting();
+      context_.stop();
+    }
+  }
+
+  asio::io_context& context_;
+  directory_daemon_settings settings_;
+  platform_adapter adapter_;
+  board::call_board board_;
+  call_metrics metrics_;
+  call_plane plane_;
+  asio::steady_timer timer_;
+  routing_publisher routing_;
+  std::unique_ptr<net::http_server> metrics_server_;
+  std::unique_ptr<control::directory> directory_;
+  std::unique_ptr<control::table_follower> configuration_;
+  control::backend_life life_;
+  std::uint64_t version_in_force_ = 0;
+  bool found_row_taken_ = false;
+  bool directory_published_ = false;
+  bool probing_ = false;
+  support::time_point next_probe_{};
+  std::optional<support::time_point> stopping_since_;
+  std::atomic<bool> refuses_callers_{false};
+  std::atomic<bool> heard_of_backend_{false};
+  std::atomic<bool> last_exchange_failed_{false};
+  std::atomic<support::duration::rep> last_request_{0};
+};
+
+directory_daemon::directory_daemon(asio::io_context& control_context,
+                                   const directory_daemon_settings& settings,
+                                   platform_adapter adapter)
+    : implementation_(
+          std::make_unique<implementation>(control_context, settings, std::move(adapter))) {}
+
+directory_daemon::~directory_daemon() = default;
+
+absl::Status directory_daemon::start() {
+  return implementation_->start();
+}
+
+void directory_daemon::take_report(const control::backend_report& report) {
+  implementation_->take_report(report);
+}
+
+void directory_daemon::take_departure(const std::string& instance,
+                                      std::optional<std::uint64_t> start_ms) {
+  implementation_->take_departure(instance, start_ms);
+}
+
+bool directory_daemon::is_ready() const {
+  return implementation_->is_ready();
+}
+
+void directory_daemon::stop() {
+  implementation_->stop();
+}
+
+} // namespace acaciasill::daemon
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -9,15 +9,18 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
+#include "acaciasill/daemon/entry_request.h"
 #include "entry_answer.h"
-#include "entry_request.h"
 
 #include "acaciasill/board/call_board.h"
 #include "acaciasill/daemon/call_metrics.h"
+#include "acaciasill/daemon/edge_protocol.h"
 #include "acaciasill/daemon/request_thread.h"
 #include "acaciasill/daemon/upstream_calls.h"
 #include "acaciasill/decide/request_path.h"
+#include "acaciasill/net/call_headers.h"
 #include "acaciasill/net/peer_pool.h"
+#include "acaciasill/support/log.h"
 
 namespace acaciasill::daemon {
 namespace {
@@ -29,6 +32,9 @@
 constexpr int attempt_factor = 10;
 constexpr support::milliseconds least_attempt_time{300};
 
+// Lines about single calls that one process writes in a second.
+constexpr std::uint32_t call_lines_per_second = 20;
+
 // One attempt that is under way.
 struct attempt {
   std::shared_ptr<decide::upstream_load> load;
@@ -59,6 +65,8 @@
   std::uint32_t attempts = 0;
   std::uint32_t retries = 0;
   std::uint32_t spent = 0;
+  // Attempts that ran, or may have run.
+  std::uint32_t runs = 0;
   std::uint32_t subset_size = 0;
   attempt current;
   std::optional<asio::steady_timer> retry_timer;
@@ -90,6 +98,23 @@
   }
 }
 
+// Whether the upstream's daemon and its backend server were there for the attempt.
+bool upstream_was_reached(const wire::call_reply& reply) {
+  switch (reply.code) {
+  case result_code::peer_unreachable:
+  case result_code::peer_lost:
+  case result_code::peer_stalled:
+  case result_code::backend_unreachable:
+  case result_code::backend_replaced:
+  case result_code::draining:
+  case result_code::no_upstream:
+  case result_code::not_ready:
+    return false;
+  default:
+    return true;
+  }
+}
+
 // Whether the link made the reply because none came back.
 bool reply_was_lost(const wire::call_reply& reply) {
   return reply.code == result_code::peer_lost || reply.code == result_code::peer_stalled ||
@@ -109,16 +134,11 @@
 
   void serve(request_thread& home, net::http_request request, net::http_responder respond) {
     const auto now = support::monotonic_now();
-    const auto headers = net::parse_call_headers(request.headers);
-    if (!headers.ok()) {
-      respond(make_error_answer(headers.status()));
-      return;
-    }
     const auto connection = request.connection;
     auto& mine = threads_[home.index];
     auto call = std::make_shared<entry_call>(++mine.last_id, home);
-    if (const auto status = understand(*call, std::move(request), *headers, now); !status.ok()) {
-      respond(make_error_answer(status));
+    if (const auto status = understand(*call, request, now); !status.ok()) {
+      respond(environment_.protocol->answer_error(request, status));
       return;
     }
     call->connection = connection;
@@ -130,11 +150,10 @@
     begin(call, now);
   }
 
-  absl::Status understand(entry_call& call, net::http_request request,
-                          const net::call_headers& headers, support::time_point now) {
+  absl::Status understand(entry_call& call, net::http_request& request, support::time_point now) {
     const board::rcu_read_guard guard;
-    auto understood = read_entry_request(board_.configuration.read(guard), std::move(request),
-                                         headers, call.home.signer, now, call.home.random);
+    auto understood = environment_.protocol->read_request(board_.configuration.read(guard), request,
+                                                          call.home, now);
     if (!understood.ok()) {
       return understood.status();
     }
@@ -149,12 +168,16 @@
       call->parent = decide::find_parent(board_.parents, id);
     }
     request.call.holds_finished_work =
-        call->parent && board_.parents.cells[call->parent->cell].holds_finished_work.load(
-                            std::memory_order_relaxed);
+        request.call.holds_finished_work ||
+        (call->parent && board_.parents.cells[call->parent->cell].holds_finished_work.load(
+                             std::memory_order_relaxed));
+    if (call->parent && request.inherits_rank) {
+      request.call.rank =
+          board_.parents.cells[call->parent->cell].rank.load(std::memory_order_relaxed);
+    }
     call->level = decide::make_level(request.call.rank, request.call.holds_finished_work, id);
     call->first_budget = call->parent ? decide::borrow_from_parent(board_.parents, *call->parent)
-                         : request.from_backend ? 0
-                                                : request.minted_attempts;
+                                      : request.minted_attempts;
     decide::reset_budget(call->budget, call->first_budget);
     if (protects() && !request.from_backend && !admit_at_entry(*call, now)) {
       return;
@@ -165,6 +188,22 @@
 
   // Collapses repeated calls and sheds what a deeper hop would shed; false where it answered.
   bool admit_at_entry(entry_call& call, support::time_point now) {
+    const auto& request = call.request;
+    if (request.collapses_duplicates && !is_first_of_its_kind(call)) {
+      return false;
+    }
+    if (decide::shed_at_entry(board_.thresholds, request.threshold_subject,
+                              request.organisation_slot, call.level, now)) {
+      decide::note_refused(board_.entry_excess[request.organisation_slot]);
+      finish(call, refusal_reply(result_code::shed_at_entry, advice(call)));
+      return false;
+    }
+    decide::note_admitted(board_.entry_excess[request.organisation_slot]);
+    return true;
+  }
+
+  // Whether the same call is not running already; false where it was answered as a duplicate.
+  bool is_first_of_its_kind(entry_call& call) {
     const auto& request = call.request;
     const auto ticket = decide::begin_call(
         board_.duplicates,
@@ -184,13 +223,6 @@
     if (ticket.check == decide::duplicate_check::first) {
       call.duplicate = ticket;
     }
-    if (decide::shed_at_entry(board_.thresholds, request.threshold_subject,
-                              request.organisation_slot, call.level, now)) {
-      decide::note_refused(board_.entry_excess[request.organisation_slot]);
-      finish(call, refusal_reply(result_code::shed_at_entry, advice(call)));
-      return false;
-    }
-    decide::note_admitted(board_.entry_excess[request.organisation_slot]);
     return true;
   }
 
@@ -230,7 +262,7 @@
   // that time is left for another one.
   support::time_point attempt_deadline(const entry_call& call, support::time_point now) const {
     const auto deadline = call.request.deadline;
-    if (!protects() || !call.request.call.idempotent) {
+    if (!protects() || !call.request.call.idempotent || !call.request.bounds_attempt_time) {
       return deadline;
     }
     const support::duration expected =
@@ -305,6 +337,7 @@
   }
 
   void take_reply(entry_call& call, const wire::call_reply& reply, support::time_point now) {
+    decide::learn_reachability(*call.current.load, upstream_was_reached(reply), now);
     if (reply_was_lost(reply)) {
       decide::on_reply(*call.current.load, decide::lost_reply{}, now);
       return;
@@ -330,6 +363,10 @@
   bool retry(const call_ptr& call, const wire::call_reply& reply, support::time_point now) {
     decide::failed_attempt failed;
     failed.not_run = reply.outcome == wire::outcome::not_run;
+    call->runs += failed.not_run ? 0 : 1;
+    if (call->request.max_runs != 0 && call->runs >= call->request.max_runs) {
+      return false;
+    }
     failed.code = reply.code;
     // A server that calls others may have failed because one of them did; the retry was theirs.
     failed.next_to_failure =
@@ -366,6 +403,12 @@
 
   void finish(entry_call& call, wire::call_reply reply) {
     call.ended = true;
+    if (reply.outcome == wire::outcome::not_run && call.runs > 0) {
+      // An earlier attempt may have run, so that the refusal of the last one says nothing.
+      reply.outcome = wire::outcome::unknown;
+      reply.code = result_code::outcome_unknown;
+      reply.http_status = support::describe(reply.code).http_status;
+    }
     if (call.parent) {
       decide::parent_summary summary;
       summary.unused_attempts = decide::take_attempts(call.budget, call.first_budget);
@@ -386,10 +429,10 @@
                                 call.request.call.rank, reply.outcome);
     record(call, reply, now);
     const auto respond = std::move(call.respond);
-    const auto id = call.request.call.id;
+    const auto request = std::move(call.request);
     forget(call);
     board_.calls_in_flight.fetch_sub(1, std::memory_order_release);
-    respond(make_answer(id, std::move(reply)));
+    respond(environment_.protocol->answer_call(request, std::move(reply)));
   }
 
   // Takes the call out of the tables; the call may be destroyed once its callbacks are.
@@ -409,6 +452,7 @@
     if (reply.outcome == wire::outcome::completed && !is_sampled(call.request.call.id)) {
       return;
     }
+    log_end(call, reply, now);
     trace_record record;
     record.id = call.request.call.id;
     record.service = call.request.call.service;
@@ -427,6 +471,33 @@
     call.home.traces.add(std::move(record));
   }
 
+  // One line for a call that did not complete, and for a sample of those that did.
+  void log_end(const entry_call& call, const wire::call_reply& reply, support::time_point now) {
+    std::uint32_t dropped = 0;
+    if (!call_lines_.allow(now, dropped)) {
+      return;
+    }
+    const auto& request = call.request;
+    const auto elapsed = support::whole_milliseconds(now - call.arrived);
+    support::write_event(
+        support::log_level::info, "call", "ended",
+        {{"request", request.caller_id},
+         {"call", net::format_request_id(request.call.id)},
+         {"route", request.route},
+         {"service", request.call.service},
+         {"rank", std::to_string(request.call.rank)},
+         {"from_backend", request.from_backend ? "true" : "false"},
+         {"upstream", call.current.address},
+         {"attempts", std::to_string(call.attempts)},
+         {"outcome", std::string(outcome_name(reply.outcome))},
+         {"code", support::format_code(reply.code)},
+         {"status", std::to_string(reply.http_status)},
+         {"elapsed_ms", std::to_string(elapsed)},
+         {"time_left_ms", std::to_string(support::whole_milliseconds(request.deadline - now))},
+         {"retry_after_ms", std::to_string(reply.retry_after_ms)},
+         {"lines_dropped_before", std::to_string(dropped)}});
+  }
+
   void connection_closed(request_thread& home, std::uint64_t connection) {
     auto& mine = threads_[home.index];
     std::vector<call_ptr> gone;
@@ -458,6 +529,7 @@
   entry_environment environment_;
   board::call_board& board_;
   std::vector<thread_calls> threads_;
+  support::event_budget call_lines_{call_lines_per_second};
 };
 
 entry_calls::entry_calls(entry_environment environment)
--- a/lib/daemon/entry_request.cpp
+++ b/lib/daemon/entry_request.cpp
@@ -1,4 +1,4 @@
-#include "entry_request.h"
+#include "acaciasill/daemon/entry_request.h"
 
 #include <algorithm>
 #include <utility>
@@ -6,6 +6,7 @@
 #include "acaciasill/board/call_board.h"
 #include "acaciasill/daemon/call_context.h"
 #include "acaciasill/daemon/entry_calls.h"
+#include "acaciasill/net/http_text.h"
 #include "acaciasill/support/result_code.h"
 
 namespace acaciasill::daemon {
@@ -105,8 +106,85 @@
       facts.route ? board::service_capacity + view.route_slots[*facts.route] : result.service_slot;
 }
 
+// The service that takes the request: each target gets its part by chance.
+model::service_index choose_target(const model::compiled_host_route& route,
+                                   support::random_source& random) {
+  std::uint64_t weights = 0;
+  for (const auto& target : route.targets) {
+    weights += target.weight;
+  }
+  auto drawn = support::uniform_below(random, weights);
+  for (const auto& target : route.targets) {
+    if (drawn < target.weight) {
+      return target.service;
+    }
+    drawn -= target.weight;
+  }
+  return route.targets.back().service;
+}
+
+std::string_view host_name(const net::http_request& request) {
+  const auto* host = net::find_field(request.headers, "host");
+  if (host == nullptr) {
+    return {};
+  }
+  const std::string_view text = *host;
+  const auto colon = text.rfind(':');
+  return colon == std::string_view::npos ? text : text.substr(0, colon);
+}
+
 } // namespace
 
+absl::StatusOr<entry_request> read_host_request(const board::configuration_view& view,
+                                                net::http_request& request,
+                                                const host_request_facts& facts,
+                                                support::time_point now,
+                                                support::random_source& random) {
+  if (!view.ready) {
+    return make_error(result_code::not_ready);
+  }
+  const auto* route = view.snapshot.find_host_route(host_name(request), request.target);
+  if (route == nullptr) {
+    return make_error(result_code::no_route);
+  }
+  const auto service = choose_target(*route, random);
+  const auto& compiled = view.snapshot.service(service);
+  const auto* policy = view.snapshot.find_caller_policy(model::outside_policy_name);
+  if (policy == nullptr || !policy->default_organisation) {
+    return make_error(result_code::unknown_organisation, "the call names no organisation");
+  }
+
+  entry_request result;
+  auto& call = result.call;
+  call.id = facts.id;
+  call.service = compiled.name;
+  call.organisation = policy->policy.default_organisation;
+  call.method = request.method;
+  call.rank = route->rank;
+  call.idempotent = route->idempotent;
+  call.holds_finished_work = facts.from_backend;
+  result.from_backend = facts.from_backend;
+  result.route = view.snapshot.set().host_routes[route->index].name;
+  result.collapses_duplicates = false;
+  result.minted_attempts = facts.from_backend ? 0 : compiled.limits.spare_attempts;
+  result.max_runs = route->attempts;
+  result.bounds_attempt_time = false;
+  result.inherits_rank = true;
+  result.deadline = now + std::min(facts.deadline.value_or(route->timeout), route->timeout);
+  result.destination_calls_others = !compiled.calls.empty();
+  result.retry_ratio = compiled.limits.retry_ratio;
+  if (result.deadline <= now) {
+    return make_error(result_code::deadline_exceeded);
+  }
+  result.organisation_slot = view.organisation_slots[*policy->default_organisation];
+  result.service_slot = view.service_slots[service];
+  result.threshold_subject = board::service_capacity + view.host_route_slots[route->index];
+  call.target = std::move(request.target);
+  take_passed_headers(std::move(request.headers), call);
+  call.body = std::move(request.body);
+  return result;
+}
+
 absl::StatusOr<entry_request>
 read_entry_request(const board::configuration_view& view, net::http_request request,
                    const net::call_headers& headers, support::hmac_signer& signer,
--- a/lib/daemon/process_metrics.cpp
+++ b/lib/daemon/process_metrics.cpp
@@ -36,8 +36,7 @@
 
 } // namespace
 
-std::vector<prometheus::MetricFamily> collect_process_metrics(const board::call_board& board,
-                                                              const net::gossip_counters& gossip) {
+std::vector<prometheus::MetricFamily> collect_call_gauges(const board::call_board& board) {
   const auto& gate = board.gate;
   return {
       gauge("acaciasill_upstream_limit", "calls that the local backend server may run at once",
@@ -47,15 +46,25 @@
       gauge("acaciasill_upstream_waiting", "calls that wait for a slot", gate.waiting.load()),
       gauge("acaciasill_calls_in_flight", "calls of callers and peers without an answer",
             value_of(board.calls_in_flight)),
-      counter("acaciasill_control_sent_bytes_total", "bytes of datagrams sent",
-              value_of(gossip.sent_bytes)),
-      counter("acaciasill_control_received_bytes_total", "bytes of datagrams received",
-              value_of(gossip.received_bytes)),
-      counter("acaciasill_control_dropped_total",
-              "datagrams dropped as forged, corrupt, too large or replayed",
-              value_of(gossip.not_authenticated) + value_of(gossip.corrupt) +
-                  value_of(gossip.too_large) + value_of(gossip.replayed)),
   };
 }
 
+std::vector<prometheus::MetricFamily> collect_process_metrics(const board::call_board& board,
+                                                              const net::gossip_counters& gossip) {
+  auto families = collect_call_gauges(board);
+  for (auto& family : {
+           counter("acaciasill_control_sent_bytes_total", "bytes of datagrams sent",
+                   value_of(gossip.sent_bytes)),
+           counter("acaciasill_control_received_bytes_total", "bytes of datagrams received",
+                   value_of(gossip.received_bytes)),
+           counter("acaciasill_control_dropped_total",
+                   "datagrams dropped as forged, corrupt, too large or replayed",
+                   value_of(gossip.not_authenticated) + value_of(gossip.corrupt) +
+                       value_of(gossip.too_large) + value_of(gossip.replayed)),
+       }) {
+    families.push_back(family);
+  }
+  return families;
+}
+
 } // namespace acaciasill::daemon
--- a/lib/daemon/publishers.cpp
+++ b/lib/daemon/publishers.cpp
@@ -104,6 +104,9 @@
   for (const auto& route : view->snapshot.set().routes) {
     view->route_slots.push_back(board.routes.slot_of(route.name));
   }
+  for (const auto& route : view->snapshot.set().host_routes) {
+    view->host_route_slots.push_back(board.routes.slot_of(route.name));
+  }
   board.configuration.publish(std::move(view));
   publish_admission(board);
   return absl::OkStatus();
@@ -126,6 +129,7 @@
       admission->queue_bound = compiled.limits.queue_bound;
       admission->queue_target = compiled.limits.queue_target;
       admission->threshold_step = compiled.limits.threshold_step;
+      admission->adjusts_thresholds = compiled.limits.ids_travel;
       const auto slots = target.slots != 0 ? target.slots : compiled.slots;
       admission->queue_places = std::clamp(slots, least_queue_places, most_queue_places);
     }
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -7,11 +7,11 @@
 
 #include <asio/post.hpp>
 
-#include "upstream_exchange.h"
 #include "upstream_queue.h"
 
 #include "acaciasill/board/call_board.h"
 #include "acaciasill/daemon/call_metrics.h"
+#include "acaciasill/daemon/edge_protocol.h"
 #include "acaciasill/daemon/key_claims.h"
 #include "acaciasill/daemon/request_thread.h"
 
@@ -166,6 +166,12 @@
       refuse(home, call, result_code::deadline_exceeded, 0);
       return;
     }
+    // The backend server may have begun to leave, or be another one, since the call arrived.
+    if (const auto code = cannot_serve(call.request); code != result_code::ok) {
+      give_slot_back(call);
+      refuse(home, call, code, 0);
+      return;
+    }
     if (call.request.idempotent || call.request.idempotency_key.empty()) {
       run(home, call);
       return;
@@ -212,20 +218,27 @@
     environment_.metrics->observe(home.index, call.facts.organisation, call.request.rank,
                                   time_kind::queueing, call.started - call.arrived);
     call.parent = decide::open_parent(board_.parents, call.facts.id, call.request.lent_attempts,
-                                      call.request.holds_finished_work);
-    auto request =
-        make_backend_request(board_, call.request, call.facts.deadline, call.started, home.signer);
+                                      call.request.holds_finished_work, call.request.rank);
+    auto request = exchange_for(home, call);
     call.exchange = home.backend->send(std::move(request),
-                                       [this, &home, id = call.id](net::backend_response response) {
+                                       [this, &home, id = call.id](net::client_response response) {
                                          on_response(home, id, std::move(response));
                                        });
   }
 
-  void on_response(request_thread& home, std::uint64_t id, net::backend_response response) {
+  net::client_request exchange_for(request_thread& home, const running_call& call) {
+    const board::rcu_read_guard guard;
+    return environment_.protocol->make_backend_request(board_.configuration.read(guard),
+                                                       board_.backend.read(guard), call.request,
+                                                       home, call.facts.deadline, call.started);
+  }
+
+  void on_response(request_thread& home, std::uint64_t id, net::client_response response) {
     const auto found = calls_[home.index].find(id);
     assert(found != calls_[home.index].end() && "a running call stays until its exchange ends");
     auto& call = *found->second;
-    auto reply = interpret_response(std::move(response), call.request.idempotent);
+    environment_.observer.on_exchange(response.end != net::exchange_end::not_sent);
+    auto reply = environment_.protocol->interpret_response(call.request, std::move(response));
     if (call.parent) {
       const auto summary =
           decide::close_parent(board_.parents, *call.parent, call.request.lent_attempts);
@@ -387,4 +400,8 @@
   implementation_->queue_.backend_announced(cold);
 }
 
+void upstream_calls::backend_gone() {
+  implementation_->queue_.drop_all(result_code::draining);
+}
+
 } // namespace acaciasill::daemon
--- a/lib/daemon/upstream_exchange.cpp
+++ b/lib/daemon/upstream_exchange.cpp
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "acaciasill/board/call_board.h"
 #include "acaciasill/daemon/call_context.h"
 #include "acaciasill/net/call_headers.h"
+#include "acaciasill/net/peer_settings.h"
 
 namespace acaciasill::daemon {
 namespace {
@@ -41,7 +41,7 @@
   return reply;
 }
 
-wire::call_reply reply_to_answer(net::backend_response response) {
+wire::call_reply reply_to_answer(net::client_response response) {
   if (response.status == 503 && says_not_started(response.headers)) {
     return make_reply(wire::outcome::not_run, result_code::backend_shed);
   }
@@ -60,10 +60,11 @@
 
 } // namespace
 
-net::backend_request make_backend_request(board::call_board& board,
-                                          const wire::call_request& request,
-                                          support::time_point deadline, support::time_point now,
-                                          support::hmac_signer& signer) {
+net::client_request make_backend_request(const board::configuration_view& view,
+                                         const board::backend_target& target,
+                                         const wire::call_request& request,
+                                         support::time_point deadline, support::time_point now,
+                                         support::hmac_signer& signer) {
   net::call_headers headers;
   headers.id = request.id;
   headers.organisation = request.organisation;
@@ -73,12 +74,12 @@
   headers.context = format_context(
       {request.id, request.organisation, request.rank, request.depth, deadline}, signer);
 
-  net::backend_request result;
-  {
-    const board::rcu_read_guard guard;
-    result.url = board.backend.read(guard).base_url + request.target;
-    headers.priority = priority_name(board.configuration.read(guard).snapshot, request.rank);
+  net::client_request result;
+  if (const auto address = net::parse_peer_address(target.address); address.ok()) {
+    result.address = *address;
   }
+  result.target = request.target;
+  headers.priority = priority_name(view.snapshot, request.rank);
   result.method = request.method;
   result.headers = request.headers;
   for (auto& field : net::format_call_headers(headers)) {
@@ -90,19 +91,19 @@
   return result;
 }
 
-wire::call_reply interpret_response(net::backend_response response, bool idempotent) {
+wire::call_reply interpret_response(net::client_response response, bool idempotent) {
   switch (response.end) {
-  case net::backend_end::answered:
+  case net::exchange_end::answered:
     return reply_to_answer(std::move(response));
-  case net::backend_end::not_sent:
+  case net::exchange_end::not_sent:
     return make_reply(wire::outcome::not_run, result_code::backend_unreachable);
-  case net::backend_end::timed_out:
+  case net::exchange_end::timed_out:
     return make_reply(wire::outcome::unknown, result_code::deadline_exceeded);
-  case net::backend_end::cancelled:
+  case net::exchange_end::cancelled:
     return make_reply(wire::outcome::unknown, result_code::cancelled);
-  case net::backend_end::too_large:
+  case net::exchange_end::too_large:
     return make_reply(wire::outcome::failed, result_code::body_too_large);
-  case net::backend_end::broken:
+  case net::exchange_end::broken:
     return make_reply(wire::outcome::unknown,
                       idempotent ? result_code::backend_failed : result_code::outcome_unknown);
   }
--- a/lib/daemon/upstream_queue.cpp
+++ b/lib/daemon/upstream_queue.cpp
@@ -158,6 +158,25 @@
   });
 }
 
+void upstream_queue::drop_all(support::result_code code) {
+  asio::post(owner_.context, [this, code] {
+    std::vector<queue_handle> dropped;
+    {
+      const board::rcu_read_guard guard;
+      const auto now = support::monotonic_now();
+      for (const auto& [handle, entry] : entries_) {
+        if (decide::remove(queue_, board_.gate, board_.admission.read(guard), entry.ticket, now)) {
+          dropped.push_back(handle);
+        }
+      }
+    }
+    for (const auto& handle : dropped) {
+      entries_.erase(handle);
+      callbacks_.on_drop(handle, code);
+    }
+  });
+}
+
 void upstream_queue::arm_control_timer() {
   control_timer_.expires_after(decide::control_period);
   control_timer_.async_wait([this](asio::error_code error) {
@@ -176,7 +195,9 @@
   }
   {
     const board::rcu_read_guard guard;
-    decide::adjust(board_.gate, board_.admission.read(guard), controller_);
+    if (const auto& view = board_.admission.read(guard); view.adjusts_thresholds) {
+      decide::adjust(board_.gate, view, controller_);
+    }
   }
   if (now - limit_sampled_ >= decide::limit_window) {
     control_limit(now);
@@ -200,6 +221,8 @@
       const auto& compiled = view.snapshot.service(*service);
       settings.slots = compiled.slots;
       settings.slow_start = compiled.limits.slow_start;
+      settings.slot_use = compiled.limits.slot_use;
+      settings.learns = compiled.limits.learns_limit;
     }
   }
   const auto sheds = board_.backend_sheds.exchange(0, std::memory_order_relaxed);
--- a/lib/daemon/upstream_queue.h
+++ b/lib/daemon/upstream_queue.h
@@ -57,6 +57,8 @@
   // A call that on_run named is gone; its slot is given back.
   void release_abandoned(queue_handle call);
   void backend_announced(bool cold);
+  // Gives up all calls that wait.
+  void drop_all(support::result_code code);
 
 private:
   // A call that waits, or that was named by on_run and has not taken its slot over yet.
--- a/lib/decide/concurrency_limit.cpp
+++ b/lib/decide/concurrency_limit.cpp
@@ -129,7 +129,11 @@
 
 std::uint32_t update_limit(limit_state& state, const limit_settings& settings,
                            const limit_sample& sample, support::time_point now) {
-  const double full = full_limit(state, settings, sample);
+  if (!settings.learns) {
+    const double slots = sample.reported_slots != 0 ? sample.reported_slots : settings.slots;
+    return static_cast<std::uint32_t>(std::max(1.0, std::floor(slots * settings.slot_use)));
+  }
+  const double full = full_limit(state, settings, sample) * settings.slot_use;
   if (state.observed <= 0.0) {
     state.observed = full;
   }
--- a/lib/decide/parents.cpp
+++ b/lib/decide/parents.cpp
@@ -46,7 +46,7 @@
 }
 
 bool set_up(parent_cell& cell, const request_id& id, std::uint32_t lent_attempts,
-            bool holds_finished_work) {
+            bool holds_finished_work, std::uint8_t rank) {
   std::uint32_t free = 0;
   if (!cell.running.compare_exchange_strong(free, busy, std::memory_order_acq_rel)) {
     return false;
@@ -58,6 +58,7 @@
   cell.threshold.store(accept_all, relaxed);
   cell.overloaded_below.store(false, relaxed);
   cell.holds_finished_work.store(holds_finished_work, relaxed);
+  cell.rank.store(rank, relaxed);
   cell.running.store(1, std::memory_order_release);
   return true;
 }
@@ -83,14 +84,15 @@
 }
 
 std::optional<parent_ref> open_parent(parent_table& table, const request_id& id,
-                                      std::uint32_t lent_attempts, bool holds_finished_work) {
+                                      std::uint32_t lent_attempts, bool holds_finished_work,
+                                      std::uint8_t rank) {
   if (const auto present = find_parent(table, id);
       present && join(table.cells[present->cell], id, lent_attempts)) {
     return ref_to(table, present->cell);
   }
   const auto start = first_cell(table, id);
   for (auto cell = start; cell < start + parent_table::group_size; ++cell) {
-    if (set_up(table.cells[cell], id, lent_attempts, holds_finished_work)) {
+    if (set_up(table.cells[cell], id, lent_attempts, holds_finished_work, rank)) {
       return ref_to(table, cell);
     }
   }
--- /dev/null
+++ b/unittests/platform/configuration_row_test.cpp
@@ -0,0 +1,59 @@
+#include "configuration_row.h"
+
+#include <catch2/catch.hpp>
+
+#include "acaciasill/model/snapshot.h"
+
+using namespace acaciasill;
+
+namespace {
+
+constexpr std::string_view whole =
+    R"({"version":"0000000c","routes":{)"
+    R"("r-1":{"host":"h1.example","prefix":"/a/","kind":"idempotent","timeout_s":6,)"
+    R"("target_latency_s":1.5,"priority":2,)"
+    R"("split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"attempts":2},)"
+    R"("R_2":{"host":"h1.example","prefix":"/a/b/","kind":"non_idempotent","timeout_s":0.5,)"
+    R"("priority":0,"service":"s2","attempts":1}},)"
+    R"("services":{"s1":{"health_path":"/health","max_conns":16},"s2":{"health_path":"/up"}},)"
+    R"("limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_s":3,)"
+    R"("idle_timeout_s":15}})";
+
+} // namespace
+
+TEST_CASE("the operator's configuration becomes a set that compiles") {
+  platform::health_paths health;
+  auto read = platform::read_configuration(whole, "Zone_A", "r", health);
+  REQUIRE(read.ok());
+  CHECK(read->version == 12);
+  CHECK(read->caller_limits.max_body_bytes == 1000);
+  CHECK(read->caller_limits.idle_timeout == support::seconds(15));
+  CHECK(health.paths.at("s2") == "/up");
+  const auto compiled = model::compile_snapshot(read->set);
+  REQUIRE(compiled.ok());
+  const auto* split = compiled->find_host_route("h1.example", "/a/x");
+  REQUIRE(split != nullptr);
+  CHECK(split->targets.size() == 2);
+  CHECK(split->idempotent);
+  CHECK(split->timeout == support::seconds(6));
+  const auto* inner = compiled->find_host_route("h1.example", "/a/b/x");
+  REQUIRE(inner != nullptr);
+  CHECK_FALSE(inner->idempotent);
+  CHECK(inner->attempts == 1);
+  CHECK(inner->timeout == support::milliseconds(500));
+  CHECK(inner->rank < split->rank);
+}
+
+TEST_CASE("a text that is no configuration is refused and changes nothing") {
+  platform::health_paths health;
+  health.paths.emplace("kept", "/up");
+  for (const std::string_view text : {"", "{}", "[]", R"({"version":7})"}) {
+    CHECK_FALSE(platform::read_configuration(text, "z", "r", health).ok());
+  }
+  CHECK(health.paths.count("kept") == 1);
+}
+
+TEST_CASE("names that the product does not take are rewritten and stay apart") {
+  CHECK(platform::service_name("huvo11a") == "huvo11a");
+  CHECK(platform::service_name("A b") != platform::service_name("A_b"));
+}
--- /dev/null
+++ b/unittests/platform/edge_test.cpp
@@ -0,0 +1,106 @@
+#include "edge.h"
+
+#include <catch2/catch.hpp>
+
+#include "acaciasill/decide/level.h"
+
+using namespace acaciasill;
+using net::exchange_end;
+using support::result_code;
+using wire::outcome;
+
+namespace {
+
+const daemon::edge_protocol protocol = platform::make_edge_protocol({"pricing"});
+
+wire::call_reply interpret(std::uint16_t status, std::vector<wire::header_field> headers,
+                           bool idempotent = true) {
+  wire::call_request call;
+  call.idempotent = idempotent;
+  return protocol.interpret_response(call,
+                                     {exchange_end::answered, status, std::move(headers), "body"});
+}
+
+daemon::entry_request request_with_id(const std::string& id) {
+  daemon::entry_request request;
+  request.call.headers = {{"Request-Id", id}};
+  return request;
+}
+
+const std::string* field(const net::http_response& response, const std::string& name) {
+  for (const auto& [key, value] : response.headers) {
+    if (key == name) {
+      return &value;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace
+
+TEST_CASE("a success counts only with the backend server's signature") {
+  CHECK(interpret(200, {{"Server-Stamp", "s"}}).outcome == outcome::completed);
+  CHECK(interpret(200, {}).outcome == outcome::unknown);
+  CHECK(interpret(200, {{"Server-Stamp", "s"}, {"Content-Encoding", "gzip"}}).outcome ==
+        outcome::unknown);
+}
+
+TEST_CASE("only the backend server's own word says that a request was not run") {
+  CHECK(interpret(503, {{"Not-Run", "1"}}).outcome == outcome::not_run);
+  CHECK(interpret(421, {{"Instance-Id", "i-2"}}).outcome == outcome::not_run);
+  CHECK(interpret(421, {{"Instance-Id", "i-2"}}).code == result_code::backend_replaced);
+  CHECK(interpret(503, {}).outcome == outcome::unknown);
+  CHECK(interpret(429, {}, false).outcome == outcome::unknown);
+  wire::call_request call;
+  for (const auto end : {exchange_end::timed_out, exchange_end::broken, exchange_end::cancelled}) {
+    CHECK(protocol.interpret_response(call, {end, 0, {}, ""}).outcome == outcome::unknown);
+  }
+  CHECK(protocol.interpret_response(call, {exchange_end::not_sent, 0, {}, ""}).outcome ==
+        outcome::not_run);
+}
+
+TEST_CASE("the backend server's failure is passed on as it is") {
+  const auto answer = protocol.answer_call(
+      request_with_id("1"), interpret(500, {{"Server-Stamp", "s"}, {"Server-Load", "1,0,8"}}));
+  CHECK(answer.status == 500);
+  CHECK(answer.body == "body");
+  REQUIRE(field(answer, "Server-Stamp") != nullptr);
+  CHECK(field(answer, "Server-Load") == nullptr);
+}
+
+TEST_CASE("a status that promises not-run is given for not-run alone") {
+  wire::call_reply reply;
+  reply.outcome = outcome::not_run;
+  reply.code = result_code::queue_full;
+  reply.retry_after_ms = 1250;
+  const auto refused = protocol.answer_call(request_with_id("7"), reply);
+  CHECK(refused.status == 503);
+  REQUIRE(field(refused, "Retry-After") != nullptr);
+  CHECK(*field(refused, "Retry-After") == "1.250");
+  CHECK(*field(refused, "Request-Id") == "7");
+  reply.outcome = outcome::unknown;
+  for (const auto code : {result_code::peer_lost, result_code::outcome_unknown,
+                          result_code::backend_failed, result_code::draining}) {
+    reply.code = code;
+    CHECK(protocol.answer_call(request_with_id("7"), reply).status == 502);
+  }
+  reply.code = result_code::deadline_exceeded;
+  CHECK(protocol.answer_call(request_with_id("7"), reply).status == 504);
+}
+
+TEST_CASE("a backend server gets the time that is left and the instance that is meant") {
+  wire::call_request call;
+  call.method = "GET";
+  call.target = "/a/b?c";
+  const board::backend_target target{true, "pricing", "127.0.0.1:9", "i-1", 4, 0};
+  board::configuration_view view;
+  daemon::request_thread* nobody = nullptr;
+  const support::time_point now{};
+  const auto request = protocol.make_backend_request(view, target, call, *nobody,
+                                                     now + support::milliseconds(250), now);
+  CHECK(request.target == "/a/b?c");
+  CHECK(request.headers ==
+        std::vector<wire::header_field>{{"Deadline-Ms", "250"}, {"Expect-Instance", "i-1"}});
+  CHECK(request.timeout == support::milliseconds(250));
+  CHECK(request.echoed_field == "Request-Id");
+}
