--- a/include/acaciasill/board/call_board.h
+++ b/include/acaciasill/board/call_board.h
@@ -14,6 +14,7 @@
 #include "acaciasill/decide/gate.h"
 #include "acaciasill/decide/parents.h"
 #include "acaciasill/decide/retry.h"
+#include "acaciasill/decide/returning.h"
 #include "acaciasill/decide/routing.h"
 
 // The blackboard of one daemon: what controllers publish and what request threads count.
@@ -51,6 +52,9 @@
   std::vector<decide::retry_tokens> retries;
   std::vector<decide::spill_counters> spills;
 
+  // What first attempts bring, by the subject of their threshold.
+  std::vector<decide::first_attempt_time> first_attempt_times;
+
   // How far each organisation's callers are refused at this entry, for the advice when to come
   // back.
   std::vector<decide::caller_excess> entry_excess;
--- a/include/acaciasill/daemon/entry_request.h
+++ b/include/acaciasill/daemon/entry_request.h
@@ -40,6 +40,10 @@
   // The subject of learned thresholds: the route, or the service where no route fits.
   std::uint32_t threshold_subject = 0;
   double retry_ratio = 0.0;
+  // The rank that the call has where its caller was refused before and comes back.
+  std::uint8_t returning_rank = 0;
+  // The time that an outside caller says it still waits.
+  std::optional<support::milliseconds> time_brought;
   // Whether a call for a running request takes over that request's rank.
   bool inherits_rank = false;
   // Whether an attempt of an idempotent call is given up after some expected service times. Calls
--- a/include/acaciasill/decide/request_path.h
+++ b/include/acaciasill/decide/request_path.h
@@ -9,6 +9,7 @@
 #include "acaciasill/decide/level.h"
 #include "acaciasill/decide/parents.h"
 #include "acaciasill/decide/retry.h"
+#include "acaciasill/decide/returning.h"
 #include "acaciasill/decide/routing.h"
 #include "acaciasill/decide/threshold_controller.h"
 #include "acaciasill/decide/wait_queue.h"
--- a/include/acaciasill/model/configuration.h
+++ b/include/acaciasill/model/configuration.h
@@ -121,6 +121,8 @@
   // The services that share the requests, each as "service=weight", or "service" for a weight of 1.
   std::vector<std::string> targets;
   std::string priority;
+  // The class of requests that were refused and come back; empty for the same class.
+  std::string returning_priority;
   // Whether running a request twice does no harm.
   bool idempotent = false;
   // The longest time that a request may be kept waiting.
--- a/include/acaciasill/model/object_fields.h
+++ b/include/acaciasill/model/object_fields.h
@@ -110,6 +110,7 @@
   visitor.text("path_prefix", object.path_prefix);
   visitor.text_list("targets", object.targets);
   visitor.text("priority", object.priority, presence::required);
+  visitor.text("returning_priority", object.returning_priority);
   // Never left to a default, since a wrong guess would run a request twice.
   visitor.flag("idempotent", object.idempotent, presence::required);
   visitor.time_span("timeout_ms", object.timeout, min_time_span, max_deadline);
--- a/include/acaciasill/model/snapshot.h
+++ b/include/acaciasill/model/snapshot.h
@@ -74,6 +74,8 @@
   // Those with a weight above 0.
   std::vector<compiled_target> targets;
   std::uint8_t rank = 0;
+  // The rank of requests that were refused and come back.
+  std::uint8_t returning_rank = 0;
   bool idempotent = false;
   support::milliseconds timeout{0};
   support::milliseconds target_latency{0};
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -239,9 +239,8 @@
                   ask_key(organisation, key, callback);
                 });
               }};
-    const auto status =
-        plane_.serve_http(http_settings(settings_, *address),
-                          [this](request_thread& home) { return callbacks_for(home); });
+    auto status = plane_.serve_http(http_settings(settings_, *address),
+                                    [this](request_thread& home) { return callbacks_for(home); });
     if (!status.ok()) {
       return status;
     }
--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -118,7 +118,7 @@
     if (!callers.ok()) {
       return callers.status();
     }
-    const auto status =
+    auto status =
         plane_.serve_http(listen_settings(*callers, settings_.max_body_bytes),
                           [this](request_thread& home) { return caller_callbacks(home); });
     if (!status.ok()) {
@@ -414,7 +414,7 @@
     if (looks_for_it && version_in_force_ != 0 && !probing_ && now >= next_probe_) {
       probing_ = true;
       next_probe_ = now + probe_period;
-      adapter_.probe_backend([this](std::optional<backend_probe> probe) {
+      adapter_.probe_backend([this](const std::optional<backend_probe>& probe) {
         probing_ = false;
         take_probe(probe);
       });
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -175,6 +175,11 @@
       request.call.rank =
           board_.parents.cells[call->parent->cell].rank.load(std::memory_order_relaxed);
     }
+    if (request.time_brought &&
+        decide::is_returning(board_.first_attempt_times[request.threshold_subject],
+                             *request.time_brought, now)) {
+      request.call.rank = request.returning_rank;
+    }
     call->level = decide::make_level(request.call.rank, request.call.holds_finished_work, id);
     call->first_budget = call->parent ? decide::borrow_from_parent(board_.parents, *call->parent)
                                       : request.minted_attempts;
--- a/lib/daemon/entry_request.cpp
+++ b/lib/daemon/entry_request.cpp
@@ -171,6 +171,8 @@
   result.bounds_attempt_time = false;
   result.inherits_rank = true;
   result.deadline = now + std::min(facts.deadline.value_or(route->timeout), route->timeout);
+  result.returning_rank = route->returning_rank;
+  result.time_brought = facts.from_backend ? std::nullopt : facts.deadline;
   result.destination_calls_others = !compiled.calls.empty();
   result.retry_ratio = compiled.limits.retry_ratio;
   if (result.deadline <= now) {
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -14,12 +14,17 @@
 #include "acaciasill/daemon/edge_protocol.h"
 #include "acaciasill/daemon/key_claims.h"
 #include "acaciasill/daemon/request_thread.h"
+#include "acaciasill/net/call_headers.h"
+#include "acaciasill/support/log.h"
 
 namespace acaciasill::daemon {
 namespace {
 
 using support::result_code;
 
+// Lines about single calls that one process writes in a second.
+constexpr std::uint32_t call_lines_per_second = 10;
+
 // Where a call stands on its way through the upstream's daemon.
 enum class call_stage : std::uint8_t { waiting, claiming, running, ended };
 
@@ -324,6 +329,7 @@
     }
     const auto now = support::monotonic_now();
     const bool started = call.started != support::time_point{};
+    log_end(call, reply, started, now);
     trace_record record;
     record.id = call.request.id;
     record.role = trace_role::upstream;
@@ -340,6 +346,31 @@
     home.traces.add(std::move(record));
   }
 
+  // One line for a call that did not complete, and for a sample of those that did.
+  void log_end(const running_call& call, const wire::call_reply& reply, bool started,
+               support::time_point now) {
+    std::uint32_t dropped = 0;
+    if (!call_lines_.allow(now, dropped)) {
+      return;
+    }
+    const auto queued = microseconds_between(call.arrived, started ? call.started : now);
+    support::write_event(
+        support::log_level::info, "upstream", "ended",
+        {{"call", net::format_request_id(call.request.id)},
+         {"rank", std::to_string(call.request.rank)},
+         {"held", call.request.holds_finished_work ? "true" : "false"},
+         {"started", started ? "true" : "false"},
+         {"queued_us", std::to_string(queued)},
+         {"total_us", std::to_string(microseconds_between(call.arrived, now))},
+         {"in_flight", std::to_string(board_.gate.in_flight.load(std::memory_order_relaxed))},
+         {"waiting", std::to_string(board_.gate.waiting.load(std::memory_order_relaxed))},
+         {"limit", std::to_string(board_.gate.limit.load(std::memory_order_relaxed))},
+         {"threshold", std::to_string(reply.threshold)},
+         {"outcome", std::string(outcome_name(reply.outcome))},
+         {"code", support::format_code(reply.code)},
+         {"lines_dropped_before", std::to_string(dropped)}});
+  }
+
   static std::uint64_t microseconds_between(support::time_point from, support::time_point to) {
     return static_cast<std::uint64_t>(
         std::chrono::duration_cast<support::microseconds>(to - from).count());
@@ -374,6 +405,7 @@
   // The last id that each thread gave out.
   std::vector<std::uint64_t> last_ids_;
   upstream_queue queue_;
+  support::event_budget call_lines_{call_lines_per_second};
 };
 
 upstream_calls::upstream_calls(upstream_environment environment)
--- /dev/null
+++ b/lib/decide/returning.cpp
@@ -0,0 +1,30 @@
+#include "acaciasill/decide/returning.h"
+
+#include <algorithm>
+
+namespace acaciasill::decide {
+
+namespace {
+
+constexpr auto relaxed = std::memory_order_relaxed;
+// Without a request that brings the longest time for this long, it is lowered to what comes.
+constexpr std::uint32_t memory_ms = 5000;
+
+} // namespace
+
+bool is_returning(first_attempt_time& first, support::milliseconds time_left,
+                  support::time_point now) {
+  const auto present = static_cast<std::uint32_t>(std::max<std::int64_t>(0, time_left.count()));
+  const auto stamp =
+      static_cast<std::uint32_t>(support::whole_milliseconds(now.time_since_epoch()));
+  const auto longest = first.longest_ms.load(relaxed);
+  const bool forgotten = stamp - first.seen_ms.load(relaxed) > memory_ms;
+  if (present >= longest || forgotten) {
+    first.longest_ms.store(present, relaxed);
+    first.seen_ms.store(stamp, relaxed);
+    return false;
+  }
+  return present + least_pause.count() <= longest;
+}
+
+} // namespace acaciasill::decide
--- a/lib/model/snapshot.cpp
+++ b/lib/model/snapshot.cpp
@@ -90,12 +90,11 @@
 }
 
 compiled_host_route compile_host_route(const host_route& each, std::uint32_t index,
-                                       std::uint8_t rank, const name_index& services) {
+                                       const name_index& services) {
   compiled_host_route compiled;
   compiled.index = index;
   compiled.host = each.host;
   compiled.path_prefix = each.path_prefix;
-  compiled.rank = rank;
   compiled.idempotent = each.idempotent;
   compiled.timeout = each.timeout;
   compiled.target_latency = each.target_latency;
@@ -228,8 +227,11 @@
   }
   for (std::uint32_t i = 0; i < set.host_routes.size(); ++i) {
     const auto& each = set.host_routes[i];
-    result.host_routes_.push_back(
-        compile_host_route(each, i, rank_of(each.priority), result.service_names_));
+    auto compiled = compile_host_route(each, i, result.service_names_);
+    compiled.rank = rank_of(each.priority);
+    compiled.returning_rank =
+        each.returning_priority.empty() ? compiled.rank : rank_of(each.returning_priority);
+    result.host_routes_.push_back(std::move(compiled));
   }
   std::sort(result.host_routes_.begin(), result.host_routes_.end(),
             [](const compiled_host_route& left, const compiled_host_route& right) {
--- a/lib/model/validation.cpp
+++ b/lib/model/validation.cpp
@@ -95,6 +95,10 @@
       }
     }
     expect(priorities, object_kind::host_route, each.name, "priority", each.priority);
+    if (!each.returning_priority.empty()) {
+      expect(priorities, object_kind::host_route, each.name, "returning_priority",
+             each.returning_priority);
+    }
   }
   for (const auto& each : set.caller_policies) {
     if (!each.default_organisation.empty()) {
