--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -10,6 +10,7 @@
 
 #include "acaciasill/board/call_board.h"
 #include "acaciasill/control/directory.h"
+#include "acaciasill/control/stopping.h"
 #include "acaciasill/control/table_follower.h"
 #include "acaciasill/daemon/call_metrics.h"
 #include "acaciasill/daemon/call_plane.h"
@@ -33,12 +34,6 @@
 constexpr support::milliseconds housekeeping_period{100};
 // A backend server that is lost or not known yet is looked at this often.
 constexpr support::milliseconds probe_period{500};
-// A stop ends this long before the platform would kill the process.
-constexpr support::milliseconds stop_margin{250};
-// New work is refused this long after a stop began, so that what runs can end.
-constexpr support::milliseconds last_work_time{3000};
-// The time without any call after which a stop is over.
-constexpr support::milliseconds quiet_time{300};
 
 } // namespace
 
@@ -414,16 +409,14 @@
     if (!stopping_since_) {
       return;
     }
-    const auto elapsed = now - *stopping_since_;
-    if (elapsed > std::min(last_work_time, settings_.stop_time / 2)) {
-      refuses_callers_.store(true, std::memory_order_relaxed);
-    }
     const auto in_flight = board_.calls_in_flight.load(std::memory_order_acquire);
     const support::time_point last_request{
         support::duration(last_request_.load(std::memory_order_relaxed))};
-    const bool noticed = elapsed > settings_.notice_time;
-    const bool quiet = in_flight == 0 && now - last_request > quiet_time;
-    if ((noticed && quiet) || elapsed > settings_.stop_time - stop_margin) {
+    const auto step =
+        control::next_stop_step({settings_.stop_time, settings_.notice_time},
+                                now - *stopping_since_, now - last_request, in_flight);
+    refuses_callers_.store(step != control::stop_step::takes_callers, std::memory_order_relaxed);
+    if (step == control::stop_step::ends) {
       write_event(in_flight == 0 ? log_level::info : log_level::warning, "daemon", "stopped",
                   {{"calls_cut_off", std::to_string(in_flight)}});
       support::flush_log();
