--- a/include/acaciasill/control/backend_life.h
+++ b/include/acaciasill/control/backend_life.h
@@ -71,8 +71,8 @@
 bool take_departure(backend_life& life, const std::string& instance,
                     std::optional<std::uint64_t> start_ms);
 
-// Takes in what an earlier process of this daemon wrote down of its server; true where the server is
-// known to leave by it and was not before.
+// Takes in what an earlier process of this daemon wrote down of its server; true where the server
+// is known to leave by it and was not before.
 bool take_record(backend_life& life, const std::string& instance, std::uint64_t start_ms,
                  bool leaving);
 
--- a/include/acaciasill/decide/returning.h
+++ b/include/acaciasill/decide/returning.h
@@ -6,9 +6,10 @@
 
 #include "acaciasill/support/time.h"
 
-// Tells a request that was refused and came back, as it was told to, from a first attempt. It answers
-// overload that lasts: a caller who waited and is refused again has lost the most, so that returning
-// requests go before first ones of the same class. A caller that comes back at once gains nothing.
+// Tells a request that was refused and came back, as it was told to, from a first attempt. It
+// answers overload that lasts: a caller who waited and is refused again has lost the most, so that
+// returning requests go before first ones of the same class. A caller that comes back at once gains
+// nothing.
 namespace acaciasill::decide {
 
 // The longest time that callers of one route brought with a request, in milliseconds, which is what
