--- a/unittests/platform/edge_test.cpp
+++ b/unittests/platform/edge_test.cpp
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "acaciasill/decide/level.h"
+#include "acaciasill/daemon/request_thread.h"
 
 using namespace acaciasill;
 using net::exchange_end;
@@ -94,9 +94,9 @@
   call.target = "/a/b?c";
   const board::backend_target target{true, "pricing", "127.0.0.1:9", "i-1", 4, 0};
   board::configuration_view view;
-  daemon::request_thread* nobody = nullptr;
+  daemon::request_thread home(0, 1, "secret");
   const support::time_point now{};
-  const auto request = protocol.make_backend_request(view, target, call, *nobody,
+  const auto request = protocol.make_backend_request(view, target, call, home,
                                                      now + support::milliseconds(250), now);
   CHECK(request.target == "/a/b?c");
   CHECK(request.headers ==
