Make the HTTP parser's callbacks once for both kinds of connections

Cause: the server's and the client's connections each had the same table of callbacks, six of seven alike. Change: parser_callbacks makes it for either; the server adds the request's target. Behaviour is the same: all of unit.net and unit.platform pass before and after.

--- a/lib/net/client_connection.cpp
+++ b/lib/net/client_connection.cpp
@@ -12,6 +12,8 @@
 
 #include "acaciasill/net/call_headers.h"
 
+#include "parser_callbacks.h"
+
 namespace acaciasill::net {
 namespace {
 
@@ -19,35 +21,7 @@
 constexpr support::milliseconds keep_alive_margin{500};
 constexpr std::uint16_t first_final_status = 200;
 
-client_connection& connection_of(http_parser* parser) {
-  return *static_cast<client_connection*>(parser->data);
-}
-
-http_parser_settings make_parser_settings() {
-  http_parser_settings settings;
-  http_parser_settings_init(&settings);
-  settings.on_message_begin = [](http_parser* parser) {
-    return connection_of(parser).on_message_begin();
-  };
-  settings.on_header_field = [](http_parser* parser, const char* bytes, std::size_t count) {
-    return connection_of(parser).on_field_name({bytes, count});
-  };
-  settings.on_header_value = [](http_parser* parser, const char* bytes, std::size_t count) {
-    return connection_of(parser).on_field_value({bytes, count});
-  };
-  settings.on_headers_complete = [](http_parser* parser) {
-    return connection_of(parser).on_headers_complete();
-  };
-  settings.on_body = [](http_parser* parser, const char* bytes, std::size_t count) {
-    return connection_of(parser).on_body({bytes, count});
-  };
-  settings.on_message_complete = [](http_parser* parser) {
-    return connection_of(parser).on_message_complete();
-  };
-  return settings;
-}
-
-const http_parser_settings parser_settings = make_parser_settings();
+const http_parser_settings parser_settings = parser_callbacks<client_connection>();
 
 // Lets the system find out that a connection leads nowhere any more, however long a response may be
 // held back: after about three seconds without a sign of the other side.
--- a/lib/net/http_connection.cpp
+++ b/lib/net/http_connection.cpp
@@ -10,6 +10,8 @@
 #include "acaciasill/support/log.h"
 #include "acaciasill/support/result_code.h"
 
+#include "parser_callbacks.h"
+
 namespace acaciasill::net {
 namespace {
 
@@ -22,33 +24,10 @@
 constexpr std::uint16_t no_content = 204;
 constexpr std::uint16_t not_modified = 304;
 
-http_connection& connection_of(http_parser* parser) {
-  return *static_cast<http_connection*>(parser->data);
-}
-
 http_parser_settings make_parser_settings() {
-  http_parser_settings settings;
-  http_parser_settings_init(&settings);
-  settings.on_message_begin = [](http_parser* parser) {
-    return connection_of(parser).on_message_begin();
-  };
+  auto settings = parser_callbacks<http_connection>();
   settings.on_url = [](http_parser* parser, const char* bytes, std::size_t count) {
-    return connection_of(parser).on_target({bytes, count});
-  };
-  settings.on_header_field = [](http_parser* parser, const char* bytes, std::size_t count) {
-    return connection_of(parser).on_field_name({bytes, count});
-  };
-  settings.on_header_value = [](http_parser* parser, const char* bytes, std::size_t count) {
-    return connection_of(parser).on_field_value({bytes, count});
-  };
-  settings.on_headers_complete = [](http_parser* parser) {
-    return connection_of(parser).on_headers_complete();
-  };
-  settings.on_body = [](http_parser* parser, const char* bytes, std::size_t count) {
-    return connection_of(parser).on_body({bytes, count});
-  };
-  settings.on_message_complete = [](http_parser* parser) {
-    return connection_of(parser).on_message_complete();
+    return static_cast<http_connection*>(parser->data)->on_target({bytes, count});
   };
   return settings;
 }
