Count the time of a suspension in deadlines and ages

Cause: found by reading against the platform's pages: the steady clock does not count the time for which a machine is suspended, so that a daemon that wakes would start calls whose deadline has passed and hand their backend servers the time that the suspension took. On a machine that is never suspended both clocks are the same.

--- a/lib/daemon/claim_loop.cpp
+++ b/lib/daemon/claim_loop.cpp
@@ -152,7 +152,7 @@
 }
 
 void claim_loop::perform(const control::set_claim_timer& action) {
-  timer_.expires_at(action.at);
+  timer_.expires_after(support::time_until(action.at));
   timer_.async_wait([this](asio::error_code error) {
     if (!error) {
       handle(control::claim_timer_fired{});
--- a/lib/daemon/control_loop.cpp
+++ b/lib/daemon/control_loop.cpp
@@ -63,7 +63,7 @@
 }
 
 void control_loop::perform(const control::set_timer& action) {
-  timer_.expires_at(action.at);
+  timer_.expires_after(support::time_until(action.at));
   timer_.async_wait([this](asio::error_code error) {
     if (!error) {
       handle(control::timer_fired{});
--- a/lib/daemon/upstream_queue.cpp
+++ b/lib/daemon/upstream_queue.cpp
@@ -131,7 +131,7 @@
     drop_timer_.cancel();
     return;
   }
-  drop_timer_.expires_at(*moment);
+  drop_timer_.expires_after(support::time_until(*moment));
   drop_timer_.async_wait([this](asio::error_code error) {
     if (error) {
       return;
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -235,7 +235,7 @@
       return;
     }
     armed_until = deadlines.begin()->first;
-    timer.expires_at(*armed_until);
+    timer.expires_after(support::time_until(*armed_until));
     timer.async_wait([weak = weak_from_this()](asio::error_code error) {
       const auto self = weak.lock();
       if (!error && self) {
--- a/lib/net/load_worker.cpp
+++ b/lib/net/load_worker.cpp
@@ -150,7 +150,7 @@
     }
     begin_call(kind, *next, false);
   }
-  arrivals.timer->expires_at(begin_ + arrivals.next);
+  arrivals.timer->expires_after(support::time_until(begin_ + arrivals.next));
   arrivals.timer->async_wait([this, kind](const asio::error_code& error) {
     if (!error) {
       begin_call(kind, streams_[kind]->next, false);
@@ -164,7 +164,7 @@
     --clients_left_;
     return;
   }
-  auto timer = std::make_shared<asio::steady_timer>(io_, begin_ + moment);
+  auto timer = std::make_shared<asio::steady_timer>(io_, support::time_until(begin_ + moment));
   timer->async_wait([this, kind, moment, timer](const asio::error_code& error) {
     if (!error) {
       begin_call(kind, moment, true);
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -380,7 +380,7 @@
     return;
   }
   armed_until_ = target;
-  timer_.expires_at(target);
+  timer_.expires_after(support::time_until(target));
   timer_.async_wait([link = self()](const asio::error_code& error) {
     if (!error && link->state_ != link_state::stopped) {
       link->handle_timer();
