Ask for the configuration when peers have a newer one in force

Cause: a feed whose answer is lost, on a connection that stays open, is noticed only after its wait of 15 s and a margin; until then the daemon runs by an older configuration. Ruled out: a shorter wait of the feed, which would cost store calls in proportion. Change: calls and replies carry the generation in force at their sender; a daemon that has been behind its peers for 300 ms reads the configuration again, twice a second at most, and says so in a line. Before: no test.

--- a/include/acaciasill/board/call_board.h
+++ b/include/acaciasill/board/call_board.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "acaciasill/board/generation_watch.h"
 #include "acaciasill/board/rcu_cell.h"
 #include "acaciasill/board/slot_registry.h"
 #include "acaciasill/board/views.h"
@@ -59,6 +60,8 @@
   // back.
   std::vector<decide::caller_excess> entry_excess;
 
+  generation_watch generations;
+
   // Whether the daemon is leaving and refuses new work.
   std::atomic<bool> leaving{false};
   // Calls of callers and of peers that have no answer yet.
--- a/include/acaciasill/wire/call.h
+++ b/include/acaciasill/wire/call.h
@@ -48,6 +48,8 @@
   std::uint64_t time_left_us = 0;
   // Whether a probe of load alone is asked for; such a call reaches no backend server.
   bool probe = false;
+  // The generation of the configuration in force at the sender; 0 where it has none.
+  std::uint64_t generation = 0;
 
   bool operator==(const call_request&) const = default;
 };
@@ -87,6 +89,8 @@
   std::uint32_t limit = 0;
   // Expected service time in microseconds.
   std::uint32_t service_time_us = 0;
+  // The generation of the configuration in force at the sender; 0 where it has none.
+  std::uint64_t generation = 0;
 
   bool operator==(const call_reply&) const = default;
 };
--- a/include/acaciasill/wire/frames_generated.h
+++ b/include/acaciasill/wire/frames_generated.h
@@ -225,7 +225,8 @@
     VT_LENT_ATTEMPTS = 28,
     VT_DEPTH = 30,
     VT_TIME_LEFT_US = 32,
-    VT_PROBE = 34
+    VT_PROBE = 34,
+    VT_GENERATION = 36
   };
   uint64_t correlation() const {
     return GetField<uint64_t>(VT_CORRELATION, 0);
@@ -275,6 +276,9 @@
   bool probe() const {
     return GetField<uint8_t>(VT_PROBE, 0) != 0;
   }
+  uint64_t generation() const {
+    return GetField<uint64_t>(VT_GENERATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
@@ -301,6 +305,7 @@
            VerifyField<uint8_t>(verifier, VT_DEPTH, 1) &&
            VerifyField<uint64_t>(verifier, VT_TIME_LEFT_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_PROBE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
            verifier.EndTable();
   }
 };
@@ -357,6 +362,9 @@
   void add_probe(bool probe) {
     fbb_.AddElement<uint8_t>(call_request::VT_PROBE, static_cast<uint8_t>(probe), 0);
   }
+  void add_generation(uint64_t generation) {
+    fbb_.AddElement<uint64_t>(call_request::VT_GENERATION, generation, 0);
+  }
   explicit call_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -385,8 +393,10 @@
     uint32_t lent_attempts = 0,
     uint8_t depth = 0,
     uint64_t time_left_us = 0,
-    bool probe = false) {
+    bool probe = false,
+    uint64_t generation = 0) {
   call_requestBuilder builder_(_fbb);
+  builder_.add_generation(generation);
   builder_.add_time_left_us(time_left_us);
   builder_.add_correlation(correlation);
   builder_.add_lent_attempts(lent_attempts);
@@ -423,7 +433,8 @@
     uint32_t lent_attempts = 0,
     uint8_t depth = 0,
     uint64_t time_left_us = 0,
-    bool probe = false) {
+    bool probe = false,
+    uint64_t generation = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
@@ -448,7 +459,8 @@
       lent_attempts,
       depth,
       time_left_us,
-      probe);
+      probe,
+      generation);
 }
 
 struct call_reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -469,7 +481,8 @@
     VT_IN_FLIGHT = 28,
     VT_QUEUED = 30,
     VT_LIMIT = 32,
-    VT_SERVICE_TIME_US = 34
+    VT_SERVICE_TIME_US = 34,
+    VT_GENERATION = 36
   };
   uint64_t correlation() const {
     return GetField<uint64_t>(VT_CORRELATION, 0);
@@ -519,6 +532,9 @@
   uint32_t service_time_us() const {
     return GetField<uint32_t>(VT_SERVICE_TIME_US, 0);
   }
+  uint64_t generation() const {
+    return GetField<uint64_t>(VT_GENERATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
@@ -540,6 +556,7 @@
            VerifyField<uint32_t>(verifier, VT_QUEUED, 4) &&
            VerifyField<uint32_t>(verifier, VT_LIMIT, 4) &&
            VerifyField<uint32_t>(verifier, VT_SERVICE_TIME_US, 4) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
            verifier.EndTable();
   }
 };
@@ -596,6 +613,9 @@
   void add_service_time_us(uint32_t service_time_us) {
     fbb_.AddElement<uint32_t>(call_reply::VT_SERVICE_TIME_US, service_time_us, 0);
   }
+  void add_generation(uint64_t generation) {
+    fbb_.AddElement<uint64_t>(call_reply::VT_GENERATION, generation, 0);
+  }
   explicit call_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -624,8 +644,10 @@
     uint32_t in_flight = 0,
     uint32_t queued = 0,
     uint32_t limit = 0,
-    uint32_t service_time_us = 0) {
+    uint32_t service_time_us = 0,
+    uint64_t generation = 0) {
   call_replyBuilder builder_(_fbb);
+  builder_.add_generation(generation);
   builder_.add_correlation(correlation);
   builder_.add_service_time_us(service_time_us);
   builder_.add_limit(limit);
@@ -662,7 +684,8 @@
     uint32_t in_flight = 0,
     uint32_t queued = 0,
     uint32_t limit = 0,
-    uint32_t service_time_us = 0) {
+    uint32_t service_time_us = 0,
+    uint64_t generation = 0) {
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<acaciasill::wire::fb::header_field>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return acaciasill::wire::fb::Createcall_reply(
@@ -682,7 +705,8 @@
       in_flight,
       queued,
       limit,
-      service_time_us);
+      service_time_us,
+      generation);
 }
 
 struct call_cancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- /dev/null
+++ b/lib/board/generation_watch.cpp
@@ -0,0 +1,33 @@
+#include "acaciasill/board/generation_watch.h"
+
+namespace acaciasill::board {
+
+namespace {
+
+constexpr auto relaxed = std::memory_order_relaxed;
+
+} // namespace
+
+void hear_generation(generation_watch& watch, std::uint64_t generation) {
+  auto before = watch.heard.load(relaxed);
+  while (generation > before && !watch.heard.compare_exchange_weak(before, generation, relaxed)) {
+  }
+}
+
+bool must_catch_up(const generation_watch& watch, generation_lag& lag, support::time_point now) {
+  if (watch.heard.load(relaxed) <= watch.in_force.load(relaxed)) {
+    lag = {};
+    return false;
+  }
+  if (!lag.since) {
+    lag.since = now;
+  }
+  if (now - *lag.since < tolerated_lag ||
+      (lag.last_asked && now - *lag.last_asked < catch_up_pause)) {
+    return false;
+  }
+  lag.last_asked = now;
+  return true;
+}
+
+} // namespace acaciasill::board
--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -333,6 +333,7 @@
       }
       const auto now = support::monotonic_now();
       look_at_backend(now);
+      look_at_generation(now);
       look_at_stop(now);
       support::flush_log();
       keep_house();
@@ -361,6 +362,19 @@
     }
   }
 
+  // Peers may have a configuration in force that the feed has not brought here.
+  void look_at_generation(support::time_point now) {
+    if (!board::must_catch_up(board_.generations, generation_lag_, now)) {
+      return;
+    }
+    write_event(log_level::warning, "configuration", "peers have a newer one in force",
+                {{"configuration", std::to_string(version_in_force_)},
+                 {"heard", std::to_string(board_.generations.heard.load())},
+                 {"lag_ms", std::to_string(support::whole_milliseconds(
+                                now - generation_lag_.since.value_or(now)))}});
+    configuration_->refresh();
+  }
+
   void take_probe(const std::optional<backend_probe>& probe) {
     using control::backend_standing;
     const bool looks_for_it =
@@ -438,6 +452,7 @@
   std::unique_ptr<control::table_follower> configuration_;
   control::backend_life life_;
   std::uint64_t version_in_force_ = 0;
+  board::generation_lag generation_lag_;
   bool found_row_taken_ = false;
   bool directory_published_ = false;
   bool probing_ = false;
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -158,6 +158,7 @@
     const bool lends = protects() && call->request.destination_calls_others;
     call->current.lent = lends ? decide::lend_attempts(call->budget) : 0;
     request.lent_attempts = call->current.lent;
+    request.generation = board_.generations.in_force.load(std::memory_order_relaxed);
     decide::begin_attempt(*call->current.load);
     if (call->current.address == environment_.own_call_address) {
       send_to_self(call, std::move(request), now);
@@ -234,6 +235,7 @@
   }
 
   void on_reply(const call_ptr& call, wire::call_reply reply) {
+    board::hear_generation(board_.generations, reply.generation);
     if (call->ended) {
       decide::end_attempt(*call->current.load);
       return;
--- a/lib/daemon/publishers.cpp
+++ b/lib/daemon/publishers.cpp
@@ -104,7 +104,9 @@
   for (const auto& route : view->snapshot.set().routes) {
     view->route_slots.push_back(board.routes.slot_of(route.name));
   }
+  const auto generation = view->snapshot.generation();
   for (const auto& route : view->snapshot.set().host_routes) {
+  board.generations.in_force.store(generation, std::memory_order_relaxed);
     view->host_route_slots.push_back(board.routes.slot_of(route.name));
   }
   board.configuration.publish(std::move(view));
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -62,6 +62,7 @@
   bool protects() const { return environment_.mode == operating_mode::protect; }
 
   std::uint64_t serve(request_thread& home, wire::call_request request, upstream_reply reply) {
+    board::hear_generation(board_.generations, request.generation);
     auto call = std::make_shared<running_call>();
     call->id = ++last_ids_[home.index];
     call->arrived = support::monotonic_now();
@@ -302,6 +303,7 @@
 
   void finish(request_thread& home, running_call& call, wire::call_reply reply) {
     reply.id = call.request.id;
+    reply.generation = board_.generations.in_force.load(std::memory_order_relaxed);
     add_load(reply, call);
     call.stage = call_stage::ended;
     record(home, call, reply);
--- a/lib/wire/codec.cpp
+++ b/lib/wire/codec.cpp
@@ -173,6 +173,7 @@
   request.depth = table.depth();
   request.time_left_us = table.time_left_us();
   request.probe = table.probe();
+  request.generation = table.generation();
   return request;
 }
 
@@ -205,6 +206,7 @@
   reply.queued = table.queued();
   reply.limit = table.limit();
   reply.service_time_us = table.service_time_us();
+  reply.generation = table.generation();
   return reply;
 }
 
@@ -315,7 +317,7 @@
   const auto message = fb::Createcall_request(
       builder, request.correlation, &id, service, organisation, method, target, headers, body, key,
       request.rank, request.holds_finished_work, request.idempotent, request.lent_attempts,
-      request.depth, request.time_left_us, request.probe);
+      request.depth, request.time_left_us, request.probe, request.generation);
   finish(builder, buffer, fb::message::call_request, message);
 }
 
@@ -328,7 +330,8 @@
       builder, reply.correlation, &id, static_cast<std::uint8_t>(reply.outcome),
       static_cast<std::uint16_t>(reply.code), reply.http_status, headers, body,
       reply.unused_attempts, reply.spent_attempts, reply.threshold, reply.overloaded_below,
-      reply.retry_after_ms, reply.in_flight, reply.queued, reply.limit, reply.service_time_us);
+      reply.retry_after_ms, reply.in_flight, reply.queued, reply.limit, reply.service_time_us,
+      reply.generation);
   finish(builder, buffer, fb::message::call_reply, message);
 }
 
--- /dev/null
+++ b/unittests/board/generation_watch_test.cpp
@@ -0,0 +1,39 @@
+#include "acaciasill/board/generation_watch.h"
+
+#include <catch2/catch.hpp>
+
+using namespace acaciasill;
+using namespace acaciasill::board;
+
+namespace {
+
+support::time_point at(int milliseconds) {
+  return support::time_point(support::milliseconds(milliseconds));
+}
+
+} // namespace
+
+TEST_CASE("a daemon asks for a configuration that peers have had in force for a while") {
+  generation_watch watch;
+  generation_lag lag;
+  watch.in_force = 2;
+  hear_generation(watch, 2);
+  CHECK_FALSE(must_catch_up(watch, lag, at(0)));
+  hear_generation(watch, 6);
+  hear_generation(watch, 4);
+  CHECK(watch.heard == 6);
+  CHECK_FALSE(must_catch_up(watch, lag, at(100)));
+  CHECK_FALSE(must_catch_up(watch, lag, at(399)));
+  CHECK(must_catch_up(watch, lag, at(400)));
+  SECTION("it asks again after a pause while it is behind") {
+    CHECK_FALSE(must_catch_up(watch, lag, at(800)));
+    CHECK(must_catch_up(watch, lag, at(900)));
+  }
+  SECTION("what it has in force ends the lag") {
+    watch.in_force = 6;
+    CHECK_FALSE(must_catch_up(watch, lag, at(500)));
+    hear_generation(watch, 7);
+    CHECK_FALSE(must_catch_up(watch, lag, at(1000)));
+    CHECK(must_catch_up(watch, lag, at(1300)));
+  }
+}
--- a/unittests/wire/codec_test.cpp
+++ b/unittests/wire/codec_test.cpp
@@ -28,6 +28,7 @@
   request.depth = 5;
   request.time_left_us = 6;
   request.probe = true;
+  request.generation = 9;
   return request;
 }
 
@@ -49,6 +50,7 @@
   reply.queued = 6;
   reply.limit = 7;
   reply.service_time_us = 8;
+  reply.generation = 9;
   return reply;
 }
 
