Keep a deep service busy whose callers call it many times in a row

A listing makes ten calls of crisisdesk, one after the other, and fails with the first that is refused. The queue had one place a slot, so that calls were dropped although the wait was far under its target. The loop of overload_test, with ten calls a request, loses 0.65 to 3.0 calls for each useful one with one place a slot, 0.02 with four and more. Ruled out: the queue's target and the proportional gain alone (0.97 and 0.985 at best with entries that follow both ways by an eighth, and more calls in vain). Change: eight places a slot; calls of running requests are not refused by a threshold, which is for what has not begun; a running call tells the latest threshold of each service below it, not the strictest of its whole time; closing keeps 0.8 of what finishes and holding takes a tenth a period; an integral gain of 0.005; entries follow looser thresholds by a 16th.

--- a/benchmarks/decide_overload.cpp
+++ b/benchmarks/decide_overload.cpp
@@ -28,7 +28,7 @@
       sum.organisations[2]);
   if (std::getenv("DECIDE_OVERLOAD_BINS") != nullptr) {
     for (std::size_t index = 25; index < bins; ++index) {
-      std::printf("%.2f ", all.results[index].useful * 10.0 / capacity_per_s);
+      std::printf("%.2f ", all.results[index].useful * 10.0 / capacity_per_s(settings));
     }
     std::printf("\n");
   }
--- a/include/acaciasill/decide/entry_thresholds.h
+++ b/include/acaciasill/decide/entry_thresholds.h
@@ -37,7 +37,7 @@
 bool shed_at_entry(const entry_thresholds& table, std::uint32_t subject, std::uint32_t organisation,
                    level request, support::time_point now);
 
-// Takes in the threshold of a reply. A stricter one is followed at once, a looser one by a 32nd of
+// Takes in the threshold of a reply. A stricter one is followed at once, a looser one by a 16th of
 // the difference, so that of several upstreams the strictest counts most.
 void learn_threshold(entry_thresholds& table, std::uint32_t subject, std::uint32_t organisation,
                      level reply_threshold, support::time_point now);
--- a/include/acaciasill/decide/parents.h
+++ b/include/acaciasill/decide/parents.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASILL_DECIDE_PARENTS_H
 #define ACACIASILL_DECIDE_PARENTS_H
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <optional>
@@ -13,6 +14,9 @@
 // request borrow from the attempts that were lent to it. A fixed-size table of atomics.
 namespace acaciasill::decide {
 
+// Services below a running call whose thresholds are kept apart; more of them share places.
+inline constexpr std::uint32_t thresholds_per_parent = 4;
+
 // One running call, or several of the same request.
 struct parent_cell {
   // The request's id; 0 and 0 for a free cell.
@@ -21,8 +25,10 @@
   std::atomic<std::uint32_t> running{0};
   attempt_budget budget;
   std::atomic<std::uint32_t> spent{0};
-  // The strictest threshold that a child's reply brought, in terms of path_level.
-  std::atomic<level> threshold{accept_all};
+  // The threshold of the latest reply of each service called, in terms of path_level. An earlier
+  // one says nothing any more: a request that makes many calls would tell its caller of an overload
+  // that has passed.
+  std::array<std::atomic<level>, thresholds_per_parent> thresholds{};
   std::atomic<bool> overloaded_below{false};
   // Whether a child call has completed, so that the request holds finished work.
   std::atomic<bool> holds_finished_work{false};
@@ -59,6 +65,15 @@
   bool operator==(const parent_summary&) const = default;
 };
 
+// What the reply to a child call tells of the path below it.
+struct child_threshold {
+  // The slot of the service that replied.
+  std::uint32_t service = 0;
+  level threshold = accept_all;
+
+  bool operator==(const child_threshold&) const = default;
+};
+
 // Enters a call that starts in the local backend server with the attempts lent to it; nothing where
 // the table is full, and its attempts are then spent.
 std::optional<parent_ref> open_parent(parent_table& table, const request_id& id,
@@ -71,9 +86,11 @@
 // Takes out what a child call is lent.
 std::uint32_t borrow_from_parent(parent_table& table, parent_ref parent);
 
-// Takes in a child's reply: attempts that it did not use, what it spent, its threshold.
+// Takes in a child's reply: attempts that it did not use, what it spent, and the threshold of the
+// service that it called, where the reply brought one. The summary's own threshold is not read.
 void return_to_parent(parent_table& table, parent_ref parent, std::uint32_t lent,
-                      const parent_summary& reply, bool completed);
+                      const parent_summary& reply, bool completed,
+                      std::optional<child_threshold> learned = std::nullopt);
 
 // Ends a call. Attempts whose children have not replied are spent.
 parent_summary close_parent(parent_table& table, parent_ref parent, std::uint32_t lent_attempts);
--- a/include/acaciasill/decide/wait_queue.h
+++ b/include/acaciasill/decide/wait_queue.h
@@ -14,6 +14,18 @@
 
 struct wait_queue_state;
 
+// The most calls that wait in front of one backend server, a bound on memory, and the least.
+inline constexpr std::uint32_t most_queue_places = 1024;
+inline constexpr std::uint32_t least_queue_places = 16;
+// Calls that may wait for each slot. It answers overload of a deep service that each request calls
+// several times in a row: one call without a place loses the request and what was done for it. In
+// the loop of overload_test, 2 places a slot lose 0.8 calls for each useful one, 4 and more 0.02.
+inline constexpr std::uint32_t queue_places_per_slot = 8;
+
+// The places of the queue in front of a backend server with this many slots. Thresholds keep the
+// wait near its target and deadlines end it; the places are for what comes at once.
+std::uint32_t places_for(std::uint32_t slots);
+
 // Names a waiting call until it is returned by next_from_queue, dropped or removed; never reused.
 struct queue_ticket {
   std::uint64_t value = 0;
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -331,11 +331,15 @@
       decide::parent_summary summary;
       summary.unused_attempts = decide::take_attempts(call.budget, call.first_budget);
       summary.spent_attempts = call.spent;
-      summary.threshold = reply.threshold;
       summary.overloaded_below = reply.overloaded_below || decide::is_overload(reply.code) ||
                                  reply.code == result_code::backend_shed;
+      // A reply that the link or this daemon made tells nothing of the service.
+      std::optional<decide::child_threshold> learned;
+      if (reply.limit != 0) {
+        learned = {call.request.service_slot, reply.threshold};
+      }
       decide::return_to_parent(board_.parents, *call.parent, call.first_budget, summary,
-                               reply.outcome == wire::outcome::completed);
+                               reply.outcome == wire::outcome::completed, learned);
     }
     if (call.duplicate) {
       decide::end_call(board_.duplicates, *call.duplicate);
--- a/lib/daemon/publishers.cpp
+++ b/lib/daemon/publishers.cpp
@@ -7,15 +7,12 @@
 
 #include "acaciasill/board/call_board.h"
 #include "acaciasill/daemon/call_metrics.h"
+#include "acaciasill/decide/wait_queue.h"
 #include "acaciasill/support/hash.h"
 
 namespace acaciasill::daemon {
 namespace {
 
-// The most calls that wait in front of one backend server, and the least.
-constexpr std::uint32_t most_queue_places = 1024;
-constexpr std::uint32_t least_queue_places = 16;
-
 // Names that routing counts as one data centre and instance.
 std::uint64_t instance_id(const control::view_member& member) {
   return support::hash64(member.name + "|" + member.call_address, member.incarnation);
@@ -104,12 +101,12 @@
   for (const auto& route : view->snapshot.set().routes) {
     view->route_slots.push_back(board.routes.slot_of(route.name));
   }
-  const auto generation = view->snapshot.generation();
   for (const auto& route : view->snapshot.set().host_routes) {
-  board.generations.in_force.store(generation, std::memory_order_relaxed);
     view->host_route_slots.push_back(board.routes.slot_of(route.name));
   }
+  const auto generation = view->snapshot.generation();
   board.configuration.publish(std::move(view));
+  board.generations.in_force.store(generation, std::memory_order_relaxed);
   publish_admission(board);
   return absl::OkStatus();
 }
@@ -133,7 +130,7 @@
       admission->threshold_step = compiled.limits.threshold_step;
       admission->adjusts_thresholds = compiled.limits.ids_travel;
       const auto slots = target.slots != 0 ? target.slots : compiled.slots;
-      admission->queue_places = std::clamp(slots, least_queue_places, most_queue_places);
+      admission->queue_places = decide::places_for(slots);
     }
   }
   board.admission.publish(std::move(admission));
--- a/lib/daemon/upstream_queue.cpp
+++ b/lib/daemon/upstream_queue.cpp
@@ -10,9 +10,6 @@
 namespace acaciasill::daemon {
 namespace {
 
-// Places of the queue; gate_view::queue_places is at most this.
-constexpr std::uint32_t most_places = 1024;
-
 // A handle as one number, for the queue's own name of a call.
 constexpr unsigned thread_shift = 56;
 
@@ -30,8 +27,9 @@
 upstream_queue::upstream_queue(board::call_board& board, request_thread& owner,
                                queue_callbacks callbacks)
     : board_(board), owner_(owner), callbacks_(std::move(callbacks)),
-      queue_(board::organisation_capacity, most_places), controller_(board::organisation_capacity),
-      drop_timer_(owner.context), control_timer_(owner.context) {}
+      queue_(board::organisation_capacity, decide::most_queue_places),
+      controller_(board::organisation_capacity), drop_timer_(owner.context),
+      control_timer_(owner.context) {}
 
 void upstream_queue::start() {
   limit_sampled_ = support::monotonic_now();
--- a/lib/decide/entry_thresholds.cpp
+++ b/lib/decide/entry_thresholds.cpp
@@ -8,7 +8,7 @@
 
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr unsigned first_step_shift = hash_bits - 6;
-constexpr std::uint32_t loose_part = 32;
+constexpr std::uint32_t loose_part = 16;
 // The least rise for a looser reply.
 constexpr level least_rise = level{1} << 12U;
 
--- a/lib/decide/gate.cpp
+++ b/lib/decide/gate.cpp
@@ -58,13 +58,13 @@
   counters.arrivals.fetch_add(1, relaxed);
   raise_to(counters.highest, request.level);
   const auto threshold = counters.threshold.load(relaxed);
-  const bool let_in = admits(threshold, request.level);
+  const bool below = admits(threshold, request.level);
   // Where the threshold cuts through a half class, the part below it tells how much is asked for;
   // above it the attempts of clients that ask again would count many times.
-  if (let_in || half_class_of(threshold) != half_class_of(request.level)) {
+  if (below || half_class_of(threshold) != half_class_of(request.level)) {
     counters.offered[bucket_of(request.level)].fetch_add(1, relaxed);
   }
-  if (!let_in) {
+  if (!below && !request.holds_finished_work) {
     return refuse(state, view, request, result_code::shed_at_upstream, random);
   }
   note_admitted(counters.excess);
--- a/lib/decide/parents.cpp
+++ b/lib/decide/parents.cpp
@@ -22,10 +22,12 @@
          cell.high.load(relaxed) == id.high;
 }
 
-void lower_to(std::atomic<level>& threshold, level candidate) {
-  auto before = threshold.load(relaxed);
-  while (candidate < before && !threshold.compare_exchange_weak(before, candidate, relaxed)) {
+level strictest(const parent_cell& cell) {
+  level result = accept_all;
+  for (const auto& threshold : cell.thresholds) {
+    result = std::min(result, threshold.load(relaxed));
   }
+  return result;
 }
 
 bool join(parent_cell& cell, const request_id& id, std::uint32_t lent_attempts) {
@@ -55,7 +57,9 @@
   cell.low.store(id.low, relaxed);
   reset_budget(cell.budget, lent_attempts);
   cell.spent.store(0, relaxed);
-  cell.threshold.store(accept_all, relaxed);
+  for (auto& threshold : cell.thresholds) {
+    threshold.store(accept_all, relaxed);
+  }
   cell.overloaded_below.store(false, relaxed);
   cell.holds_finished_work.store(holds_finished_work, relaxed);
   cell.rank.store(rank, relaxed);
@@ -105,14 +109,17 @@
 }
 
 void return_to_parent(parent_table& table, parent_ref parent, std::uint32_t lent,
-                      const parent_summary& reply, bool completed) {
+                      const parent_summary& reply, bool completed,
+                      std::optional<child_threshold> learned) {
   auto& cell = table.cells[parent.cell];
   if (budget_epoch(cell.budget) != parent.epoch) {
     return;
   }
   return_attempts(cell.budget, lent, reply.unused_attempts, parent.epoch);
   cell.spent.fetch_add(reply.spent_attempts, relaxed);
-  lower_to(cell.threshold, reply.threshold);
+  if (learned) {
+    cell.thresholds[learned->service % thresholds_per_parent].store(learned->threshold, relaxed);
+  }
   if (reply.overloaded_below) {
     cell.overloaded_below.store(true, relaxed);
   }
@@ -126,7 +133,7 @@
   parent_summary summary;
   summary.unused_attempts = take_attempts(cell.budget, lent_attempts);
   summary.spent_attempts = cell.spent.load(relaxed);
-  summary.threshold = cell.threshold.load(relaxed);
+  summary.threshold = strictest(cell);
   summary.overloaded_below = cell.overloaded_below.load(relaxed);
   cell.running.fetch_sub(1, std::memory_order_acq_rel);
   return summary;
--- a/lib/decide/threshold_controller.cpp
+++ b/lib/decide/threshold_controller.cpp
@@ -32,8 +32,13 @@
 constexpr double largest_target_part = 0.5;
 // The part of the waiting calls that a tightened budget leaves room to drain in one period.
 constexpr double drain_part = 0.25;
+// What closing keeps at least of the calls that finish, and what one period of holding takes at
+// most. Requests that make several calls go on calling for their whole length after the entry has
+// learned, so that a deeper cut only leaves the upstream idle afterwards.
+constexpr double least_kept_on_closing = 0.8;
+constexpr double largest_cut = 0.1;
 // The gains of the queue's control, in calls of a period for each waiting call.
-constexpr double integral_gain = 0.02;
+constexpr double integral_gain = 0.005;
 constexpr double proportional_gain = 0.3;
 // The largest step of recovery is this multiple of threshold_step.
 constexpr double largest_growth = 5.0;
@@ -158,8 +163,8 @@
 // Closes the thresholds: as much is admitted as is finished, less a part of what waits.
 void close(const gate& state, threshold_controller& controller) {
   const double waiting = state.waiting.load(relaxed);
-  controller.budget = std::max(
-      {least_budget, controller.finished / 2.0, controller.finished - drain_part * waiting});
+  controller.budget = std::max({least_budget, controller.finished * least_kept_on_closing,
+                                controller.finished - drain_part * waiting});
   controller.open = false;
   controller.quiet = 0;
 }
@@ -171,7 +176,7 @@
   const double change =
       integral_gain * error - proportional_gain * (waiting - controller.waiting_before);
   const double most = controller.budget * view.threshold_step;
-  const double least = -controller.budget / 2.0;
+  const double least = -controller.budget * largest_cut;
   controller.budget = std::max(least_budget, controller.budget + std::clamp(change, least, most));
   controller.quiet = 0;
 }
--- a/lib/decide/wait_queue.cpp
+++ b/lib/decide/wait_queue.cpp
@@ -202,6 +202,12 @@
 
 } // namespace
 
+std::uint32_t places_for(std::uint32_t slots) {
+  const auto wanted = std::uint64_t{queue_places_per_slot} * slots;
+  return static_cast<std::uint32_t>(
+      std::clamp<std::uint64_t>(wanted, least_queue_places, most_queue_places));
+}
+
 wait_queue::wait_queue(std::uint32_t organisation_count, std::uint32_t most_places)
     : state_(std::make_unique<wait_queue_state>(organisation_count, most_places)) {}
 wait_queue::wait_queue(wait_queue&&) noexcept = default;
--- a/unittests/decide/gate_test.cpp
+++ b/unittests/decide/gate_test.cpp
@@ -90,6 +90,14 @@
   CHECK(counters.in_flight == 0);
 }
 
+TEST_CASE_METHOD(gate_fixture, "a call of a running request is not refused by the threshold") {
+  counters.organisations[0].threshold = 0;
+  CHECK(decide().code == result_code::shed_at_upstream);
+  request.holds_finished_work = true;
+  request.level = make_level(3, true, request.id);
+  CHECK(decide().action == admission::run);
+}
+
 TEST_CASE_METHOD(gate_fixture, "an organisation above its own part is told that it is") {
   CHECK(decide().action == admission::run);
   CHECK(decide().action == admission::run);
--- a/unittests/decide/overload_loop.cpp
+++ b/unittests/decide/overload_loop.cpp
@@ -9,7 +9,6 @@
 constexpr microseconds hop{500};
 constexpr double front_service_us = 2000.0;
 constexpr std::uint32_t front_slots = 400;
-constexpr milliseconds request_deadline{500};
 
 void at(loop& all, time_point when, std::function<void()> run) {
   all.events.push({when, ++all.last_event, std::move(run)});
@@ -35,7 +34,9 @@
 void begin(loop& all, std::uint32_t index, loop_request& request) {
   auto& node = *all.nodes[index];
   const double slow = index > 0 && under_pressure(all) ? all.settings.slowness : 1.0;
-  const double mean = index == 0 ? front_service_us : deep_service_us * slow;
+  const double deep_us = all.settings.deep_work_us / all.settings.deep_calls;
+  const double mean =
+      index == 0 ? front_service_us : deep_us * slow / all.settings.speeds[index - 1];
   auto& slot = *std::min_element(node.slot_free.begin(), node.slot_free.end());
   const auto span = microseconds(static_cast<std::int64_t>(mean / 2 + exponential(all, mean / 2)));
   slot = std::max(slot, all.now) + span;
@@ -97,7 +98,8 @@
 
 // The entry has the answer of the front.
 void answered(loop& all, loop_request& request, bool useful) {
-  learn_threshold(all.thresholds, 0, request.facts.organisation, request.threshold, all.now);
+  learn_threshold(all.thresholds[request.entry], 0, request.facts.organisation, request.threshold,
+                  all.now);
   if (!useful || all.now > request.facts.deadline) {
     bin(all).wasted += useful ? 1 : 0;
     retry_or_fail(all, request);
@@ -125,6 +127,17 @@
           node.counters.service_time_us};
 }
 
+// The front makes its next call for the request.
+void call_deep(loop& all, loop_request& request, bool holds_finished_work) {
+  const auto target = choose_upstream(all.route, all.spill, {}, all.now, all.random);
+  request.upstream = *target;
+  begin_attempt(*all.route.upstreams[*target].load);
+  request.facts.holds_finished_work = holds_finished_work;
+  request.facts.level = make_level(request.rank, holds_finished_work, request.facts.id);
+  at(all, all.now + hop + all.settings.between_calls,
+     [&all, &request] { offer(all, request.upstream + 1, request); });
+}
+
 void deep_replied(loop& all, loop_request& request, level threshold, bool useful) {
   auto& load = *all.route.upstreams[request.upstream].load;
   attempt_budget budget;
@@ -133,17 +146,19 @@
                           .load = report_of(*all.nodes[request.upstream + 1])};
   entry_thresholds unused(0, 0);
   on_reply(load, unused, {}, budget, reply, all.now);
-  request.threshold = std::min(request.threshold, threshold);
+  // The latest reply counts, as in return_to_parent.
+  request.threshold = threshold;
+  if (useful && --request.calls_left > 0) {
+    call_deep(all, request, true);
+    return;
+  }
   front_done(all, request, useful);
 }
 
 void finished(loop& all, std::uint32_t index, loop_request& request) {
   if (index == 0) {
-    const auto target = choose_upstream(all.route, all.spill, {}, all.now, all.random);
-    request.upstream = *target;
-    begin_attempt(*all.route.upstreams[*target].load);
-    request.facts.holds_finished_work = false;
-    at(all, all.now + hop, [&all, &request] { offer(all, request.upstream + 1, request); });
+    request.calls_left = all.settings.deep_calls;
+    call_deep(all, request, false);
     return;
   }
   auto& node = *all.nodes[index];
@@ -173,10 +188,13 @@
   }
   ++request.attempts;
   bin(all).entry_attempts += 1;
-  request.facts.deadline = std::min(all.now + request_deadline, request.given_up);
+  request.facts.deadline = std::min(all.now + all.settings.request_deadline, request.given_up);
+  request.facts.holds_finished_work = false;
+  request.facts.level = make_level(request.rank, false, request.facts.id);
   request.threshold = accept_all;
   if (all.settings.entry_sheds && !all.settings.passthrough &&
-      shed_at_entry(all.thresholds, 0, request.facts.organisation, request.facts.level, all.now)) {
+      shed_at_entry(all.thresholds[request.entry], 0, request.facts.organisation,
+                    request.facts.level, all.now)) {
     auto& excess = all.excess[request.facts.organisation];
     note_refused(excess);
     request.retry_after_ms = retry_after_ms(excess, request.rank, all.random);
@@ -198,14 +216,15 @@
   request->facts.id = {all.random(), all.requests.size()};
   request->facts.level = make_level(request->rank, false, request->facts.id);
   request->given_up = all.now + all.settings.client_patience;
+  request->entry = all.requests.size() % all.settings.entries;
   bin(all).offered += 1;
   bin(all).offered_of_rank[request->rank] += 1;
   bin(all).offered_of_organisation[request->facts.organisation] += 1;
   all.requests.push_back(std::move(request));
   attempt(all, *all.requests.back());
   const double load = under_pressure(all) ? all.settings.demand : all.settings.calm;
-  const auto gap =
-      microseconds(static_cast<std::int64_t>(exponential(all, 1e6 / (capacity_per_s * load))));
+  const auto gap = microseconds(
+      static_cast<std::int64_t>(exponential(all, 1e6 / (capacity_per_s(all.settings) * load))));
   at(all, all.now + gap, [&all] { arrive(all); });
 }
 
@@ -232,6 +251,10 @@
 
 } // namespace
 
+double capacity_per_s(const loop_settings& settings) {
+  return deep_upstreams * deep_slots * 1e6 / settings.deep_work_us;
+}
+
 loop::loop(const loop_settings& tried) : settings(tried), random(tried.seed) {
   gate_view view{{{0.5, 1.0}, {0.1, 1.0}, {0.1, 1.0}},
                  tried.queue_bound,
@@ -246,6 +269,9 @@
         {index + 1U, 0, deep_slots, false, std::make_shared<upstream_load>()});
   }
   route.local_count = deep_upstreams;
+  for (std::size_t entry = 0; entry < tried.entries; ++entry) {
+    thresholds.emplace_back(1, organisation_count);
+  }
 }
 
 void run(loop& all) {
@@ -277,7 +303,7 @@
   for (std::size_t index = first; index < last; ++index) {
     sum += all.results[index].useful;
   }
-  return sum / static_cast<double>(last - first) * 10.0 / capacity_per_s;
+  return sum / static_cast<double>(last - first) * 10.0 / capacity_per_s(all.settings);
 }
 
 // Useful requests for each one offered, so that chance in the arrivals counts for nothing.
@@ -314,7 +340,7 @@
   double offered = 0;
   for (std::size_t index = 40; index < 80; ++index) {
     const auto& one = all.results[index];
-    const double part = one.useful * 10.0 / capacity_per_s;
+    const double part = one.useful * 10.0 / capacity_per_s(all.settings);
     square += (part - sum.under) * (part - sum.under);
     useful += one.useful;
     sum.wasted += one.wasted;
--- a/unittests/decide/overload_loop.h
+++ b/unittests/decide/overload_loop.h
@@ -7,7 +7,7 @@
 #include "acaciasill/decide/request_path.h"
 
 // A fixed little loop in virtual time for trying out the control of overload: clients that retry
-// hard, one entry, one front service, and three upstreams of a deep service.
+// hard, entries, one front service, and three upstreams of a deep service.
 namespace acaciasill::decide::testing {
 
 using support::duration;
@@ -17,10 +17,14 @@
 
 // What is tried.
 struct loop_settings {
-  double demand = 2.0;     // Offered first attempts during the pressure, in capacities.
-  double calm = 0.7;       // Offered first attempts before and after.
-  double slowness = 1.0;   // Factor on the deep service time during the pressure.
-  int client_retries = 10; // Attempts of one client beyond the first.
+  double demand = 2.0;           // Offered first attempts during the pressure, in capacities.
+  double calm = 0.7;             // Offered first attempts before and after.
+  double slowness = 1.0;         // Factor on the deep service time during the pressure.
+  int deep_calls = 1;            // Calls that the front makes for a request, one after the other.
+  double deep_work_us = 10000.0; // Time that all of them take together.
+  duration between_calls{};      // Time that other services take before each of them.
+  std::size_t entries = 1;       // Daemons of callers, each with thresholds of its own.
+  int client_retries = 10;       // Attempts of one client beyond the first.
   duration client_pause = milliseconds(20);
   duration client_patience = milliseconds(500);
   bool client_heeds_advice = false;
@@ -33,13 +37,15 @@
   duration queue_target = milliseconds(5);
   std::uint32_t queue_places = 64;
   std::uint32_t believed_slots = 30;
+  duration request_deadline = milliseconds(500);
+  std::array<double, 3> speeds{1.0, 1.0, 1.0}; // Of the deep upstreams.
   std::uint64_t seed = 1;
 };
 
 inline constexpr std::uint32_t deep_slots = 30;
 inline constexpr std::uint32_t deep_upstreams = 3;
-inline constexpr double deep_service_us = 10000.0;
-inline constexpr double capacity_per_s = deep_upstreams * deep_slots * 1e6 / deep_service_us;
+// Requests a second that the deep service can carry.
+double capacity_per_s(const loop_settings& settings);
 inline constexpr time_point pressure_start{std::chrono::seconds(3)};
 inline constexpr time_point pressure_end{std::chrono::seconds(8)};
 inline constexpr time_point loop_end{std::chrono::seconds(13)};
@@ -53,7 +59,9 @@
   std::uint8_t rank = 0;
   int attempts = 0;
   time_point given_up;
+  std::size_t entry = 0;
   std::uint32_t upstream = 0;
+  int calls_left = 0;
   time_point front_started;
   time_point started;
   level threshold = accept_all;
@@ -109,7 +117,7 @@
   std::vector<std::unique_ptr<loop_node>> nodes; // The front, then the deep upstreams.
   route_view route;
   spill_counters spill;
-  entry_thresholds thresholds{1, organisation_count};
+  std::vector<entry_thresholds> thresholds; // By entry.
   std::array<caller_excess, organisation_count> excess;
   std::vector<dropped_call> dropped;
   std::array<loop_bin, bins> results{};
--- a/unittests/decide/overload_test.cpp
+++ b/unittests/decide/overload_test.cpp
@@ -1,5 +1,7 @@
 #include "overload_loop.h"
 
+#include <array>
+
 #include <catch2/catch.hpp>
 
 using namespace acaciasill::decide::testing;
@@ -54,3 +56,37 @@
   CHECK(sum.success[0] >= 0.95);
   CHECK(sum.under >= 0.90);
 }
+
+// The chain of listings and crisis placements: ten calls of 15 ms in a row to servers that differ
+// in speed, for requests that come in at twelve daemons. The entries learn of overload only from
+// requests that have ended. Where the deep service refused calls of running requests by its
+// threshold, told of past overload and cut its budget in half, it carried 0.43 to 0.90 of capacity.
+TEST_CASE("requests that call a deep service ten times in a row keep it busy and waste little") {
+  constexpr int calls = 10;
+  const double demand = GENERATE(1.1, 1.3, 1.6, 2.5);
+  const std::array<double, 3> speeds =
+      GENERATE(std::array{1.0, 1.0, 1.0}, std::array{0.6, 1.0, 1.4});
+  const auto sum = try_out({.demand = demand,
+                            .deep_calls = calls,
+                            .deep_work_us = 150000.0,
+                            .between_calls = milliseconds(10),
+                            .entries = 12,
+                            .client_retries = 1,
+                            .client_patience = std::chrono::seconds(6),
+                            .client_heeds_advice = true,
+                            .queue_bound = milliseconds(2000),
+                            .queue_target = milliseconds(20),
+                            .queue_places = acaciasill::decide::places_for(deep_slots),
+                            .request_deadline = std::chrono::seconds(6),
+                            .speeds = speeds});
+  CHECK(sum.under >= 0.95);
+  CHECK(sum.amplification / calls <= 1.1);
+  CHECK(sum.important >= 0.9);
+}
+
+TEST_CASE("a queue's places follow the slots within bounds") {
+  using namespace acaciasill::decide;
+  CHECK(places_for(1) == least_queue_places);
+  CHECK(places_for(29) == 29 * queue_places_per_slot);
+  CHECK(places_for(4000000000U) == most_queue_places);
+}
