Let full local servers give calls to less loaded ones elsewhere

A call left its data centre only for a server below 0.8 of its limit, and half of the calls at most; the slow server's threshold then shed for the whole service. With it, 1,332 of 8,200 crisis-beds were refused: calls of running requests filled the queue and the budget fell below what is more important. Ruled out: the order within the queue (crisis-beds go first there).

--- a/lib/decide/routing.cpp
+++ b/lib/decide/routing.cpp
@@ -26,8 +26,12 @@
 constexpr double panic_part = 0.5;
 // A local upstream this loaded makes a call look further.
 constexpr double full_load = 1.0;
-// A remote upstream takes calls up to this load.
+// A remote upstream that is less loaded than this takes calls of a full local one.
 constexpr double spare_load = 0.8;
+// Where both are full, the remote one takes calls while its load is below this part of the local
+// one's. It answers overload in which the local upstream is the slowest: its queue would grow, and
+// its threshold shed for the whole service, beside others that have room.
+constexpr double remote_advantage = 0.9;
 // Counts of calls are halved at this number.
 constexpr std::uint32_t spill_window = 1024;
 // Spill below this many calls is not held to the cap.
@@ -148,7 +152,9 @@
   }
   const auto remote = pick_of_two(view, view.local_count, all, rule, random);
   // Without any local upstream the cap would only lose the call.
-  const bool spills = remote && (!local || remote->load < std::min(spare_load, local->load));
+  const bool spills =
+      remote && (!local || remote->load < std::max(std::min(spare_load, local->load),
+                                                   remote_advantage * local->load));
   if (!spills && !local) {
     return std::nullopt;
   }
--- a/lib/decide/threshold_controller.cpp
+++ b/lib/decide/threshold_controller.cpp
@@ -37,6 +37,9 @@
 // learned, so that a deeper cut only leaves the upstream idle afterwards.
 constexpr double least_kept_on_closing = 0.8;
 constexpr double largest_cut = 0.1;
+// What holding keeps at least of the calls that finish: calls of running requests come whatever the
+// thresholds say, and the budget must not fall to more important calls for a queue that they make.
+constexpr double least_kept_on_holding = 0.5;
 // The gains of the queue's control, in calls of a period for each waiting call.
 constexpr double integral_gain = 0.005;
 constexpr double proportional_gain = 0.3;
@@ -177,7 +180,8 @@
       integral_gain * error - proportional_gain * (waiting - controller.waiting_before);
   const double most = controller.budget * view.threshold_step;
   const double least = -controller.budget * largest_cut;
-  controller.budget = std::max(least_budget, controller.budget + std::clamp(change, least, most));
+  controller.budget = std::max({least_budget, controller.finished * least_kept_on_holding,
+                                controller.budget + std::clamp(change, least, most)});
   controller.quiet = 0;
 }
 
--- a/unittests/decide/overload_loop.cpp
+++ b/unittests/decide/overload_loop.cpp
@@ -268,7 +268,8 @@
     route.upstreams.push_back(
         {index + 1U, 0, deep_slots, false, std::make_shared<upstream_load>()});
   }
-  route.local_count = deep_upstreams;
+  route.local_count = tried.local_upstreams;
+  route.spill_cap = tried.spill_cap;
   for (std::size_t entry = 0; entry < tried.entries; ++entry) {
     thresholds.emplace_back(1, organisation_count);
   }
--- a/unittests/decide/overload_loop.h
+++ b/unittests/decide/overload_loop.h
@@ -39,6 +39,8 @@
   std::uint32_t believed_slots = 30;
   duration request_deadline = milliseconds(500);
   std::array<double, 3> speeds{1.0, 1.0, 1.0}; // Of the deep upstreams.
+  std::uint32_t local_upstreams = 3;           // The first ones; the rest is in other data centres.
+  double spill_cap = 1.0;
   std::uint64_t seed = 1;
 };
 
--- a/unittests/decide/overload_test.cpp
+++ b/unittests/decide/overload_test.cpp
@@ -66,6 +66,8 @@
   const double demand = GENERATE(1.1, 1.3, 1.6, 2.5);
   const std::array<double, 3> speeds =
       GENERATE(std::array{1.0, 1.0, 1.0}, std::array{0.6, 1.0, 1.4});
+  // With one, all calls come from the data centre of the first upstream, which may be the slowest.
+  const std::uint32_t local_upstreams = GENERATE(1U, 3U);
   const auto sum = try_out({.demand = demand,
                             .deep_calls = calls,
                             .deep_work_us = 150000.0,
@@ -78,7 +80,8 @@
                             .queue_target = milliseconds(20),
                             .queue_places = acaciasill::decide::places_for(deep_slots),
                             .request_deadline = std::chrono::seconds(6),
-                            .speeds = speeds});
+                            .speeds = speeds,
+                            .local_upstreams = local_upstreams});
   CHECK(sum.under >= 0.95);
   CHECK(sum.amplification / calls <= 1.1);
   CHECK(sum.important >= 0.9);
