Free replaced values without waiting for readers

Then nothing is read from the feed, the question whether the daemon is ready and its server's reports have no answer, and calls are placed by an old directory, while request threads go on by the old configuration. Change: replaced values are freed by liburcu's own thread once readers are done; a controller never waits. Should that thread stand still, some replaced views stay in memory and nothing else happens. Before: a publication within a read section never returns.

--- a/include/acaciasill/board/rcu_cell.h
+++ b/include/acaciasill/board/rcu_cell.h
@@ -2,8 +2,8 @@
 #define ACACIASILL_BOARD_RCU_CELL_H
 
 #include <atomic>
+#include <functional>
 #include <memory>
-#include <mutex>
 #include <utility>
 
 // Read-copy-update publication of immutable values to request threads, on liburcu.
@@ -28,8 +28,14 @@
   rcu_read_guard& operator=(const rcu_read_guard&) = delete;
 };
 
-// Waits until every read-side critical section that is open now has ended.
-void wait_for_readers();
+// Calls the function once every read-side critical section that is open now has ended, on a thread
+// of the library's own. It does not wait: a control thread that did would stand still with a reader
+// that does not get on. The calling thread is registered as a reader.
+void when_readers_are_done(std::function<void()> release);
+
+// Waits until all functions given up to now have been called. Not within a read-side critical
+// section.
+void wait_for_releases();
 
 // A pointer to an immutable value that writers replace as a whole.
 template <typename T>
@@ -45,18 +51,14 @@
     return *value_.load(std::memory_order_acquire);
   }
 
-  // Replaces the value and frees the old one once no reader holds it. Called by controllers, never
-  // on a request's path, since it waits for readers.
+  // Replaces the value; the old one is freed once no reader holds it. Called by controllers.
   void publish(std::unique_ptr<const T> next) {
-    const std::lock_guard lock(writers_);
-    const std::unique_ptr<const T> previous(
-        value_.exchange(next.release(), std::memory_order_acq_rel));
-    wait_for_readers();
+    const T* previous = value_.exchange(next.release(), std::memory_order_acq_rel);
+    when_readers_are_done([previous] { delete previous; });
   }
 
 private:
   std::atomic<const T*> value_;
-  std::mutex writers_;
 };
 
 } // namespace acaciasill::board
--- a/lib/board/rcu_cell.cpp
+++ b/lib/board/rcu_cell.cpp
@@ -1,5 +1,7 @@
 #include "acaciasill/board/rcu_cell.h"
 
+#include <memory>
+
 #include <urcu/urcu-memb.h>
 
 #if defined(__SANITIZE_THREAD__)
@@ -24,6 +26,17 @@
 void note_readers_waited_for() {}
 #endif
 
+// A function that waits for readers; liburcu links them by their base.
+struct waiting_release : rcu_head {
+  std::function<void()> release;
+};
+
+void run_release(rcu_head* head) {
+  const std::unique_ptr<waiting_release> waiting(static_cast<waiting_release*>(head));
+  note_readers_waited_for();
+  waiting->release();
+}
+
 } // namespace
 
 rcu_reader_thread::rcu_reader_thread() {
@@ -43,9 +56,15 @@
   urcu_memb_read_unlock();
 }
 
-void wait_for_readers() {
-  urcu_memb_synchronize_rcu();
-  note_readers_waited_for();
+void when_readers_are_done(std::function<void()> release) {
+  auto waiting = std::make_unique<waiting_release>();
+  waiting->release = std::move(release);
+  // liburcu owns it until it calls back.
+  urcu_memb_call_rcu(waiting.release(), run_release);
+}
+
+void wait_for_releases() {
+  urcu_memb_barrier();
 }
 
 } // namespace acaciasill::board
--- a/unittests/board/slot_registry_test.cpp
+++ b/unittests/board/slot_registry_test.cpp
@@ -18,6 +18,23 @@
   CHECK(registry.slot_of("a") == 0);
 }
 
+// A control thread that waited for a reader would do nothing else while that reader does not get
+// on.
+TEST_CASE("a writer does not wait for readers, and the value is freed when they are done") {
+  const rcu_reader_thread registration;
+  const auto value = std::make_shared<int>(1);
+  rcu_cell<std::shared_ptr<int>> cell(std::make_unique<const std::shared_ptr<int>>(value));
+  {
+    const rcu_read_guard guard;
+    const auto& seen = cell.read(guard);
+    cell.publish(std::make_unique<const std::shared_ptr<int>>());
+    CHECK(*seen == 1);
+    CHECK(value.use_count() == 2);
+  }
+  wait_for_releases();
+  CHECK(value.use_count() == 1);
+}
+
 TEST_CASE("a reader keeps the value that it read while a writer replaces it") {
   rcu_cell<int> cell(std::make_unique<const int>(1));
   std::thread writer;
@@ -26,7 +43,10 @@
     {
       const rcu_read_guard guard;
       const int& seen = cell.read(guard);
-      writer = std::thread([&cell] { cell.publish(std::make_unique<const int>(2)); });
+      writer = std::thread([&cell] {
+        const rcu_reader_thread writer_registration;
+        cell.publish(std::make_unique<const int>(2));
+      });
       CHECK(seen == 1);
     }
     writer.join();
