Place calls elsewhere where the own data centre takes far longer for their kind

Ruled out: overload (next to nothing was refused) and the admission by time, mended before. Change: replies already tell the service time of the call's kind; a daemon remembers it for each upstream for five seconds, and a call that the local server has room for goes to a remote one with room where its kind takes less than 1/1.5 of the time and not more replies are failures. A remote time that is not known is asked for by one call in 32.

--- a/include/acaciasill/decide/routing.h
+++ b/include/acaciasill/decide/routing.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASILL_DECIDE_ROUTING_H
 #define ACACIASILL_DECIDE_ROUTING_H
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <memory>
@@ -14,6 +15,9 @@
 // The choice of an upstream for a call, from a bounded subset of a service's upstreams.
 namespace acaciasill::decide {
 
+// Service times are remembered by kind of call in this many places, which other kinds may share.
+inline constexpr std::uint32_t remembered_kinds = 16;
+
 // What is known of one upstream's load; shared by all threads and by successive views.
 struct upstream_load {
   // The calls that this daemon itself has in flight there.
@@ -23,6 +27,9 @@
   std::atomic<std::uint32_t> queued{0};
   std::atomic<std::uint32_t> limit{0};
   std::atomic<std::uint32_t> service_time_us{0};
+  // By kind of call: the service time in microseconds as the last reply had it, and in the high
+  // half when that was, in milliseconds; 0 for none.
+  std::array<std::atomic<std::uint64_t>, remembered_kinds> kind_times{};
   // When that was, in milliseconds, and our own calls in flight then.
   std::atomic<std::uint32_t> reported_ms{0};
   std::atomic<std::uint32_t> own_when_reported{0};
@@ -70,7 +77,9 @@
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
   std::uint32_t limit = 0;
+  // Of the kind of call that the reply is to.
   std::uint32_t service_time_us = 0;
+  std::uint32_t kind = 0;
 
   bool operator==(const load_report&) const = default;
 };
@@ -83,11 +92,11 @@
                                          std::uint32_t subset_size);
 
 // Chooses the upstream of the next attempt among those whose ids were not tried yet; nothing where
-// none is left. The caller counts the call with begin_attempt.
-std::optional<std::uint32_t> choose_upstream(const route_view& view, spill_counters& spill,
-                                             std::span<const std::uint64_t> tried,
-                                             support::time_point now,
-                                             support::random_source& random);
+// none is left. The kind of the call tells how long it takes where. The caller counts the call with
+// begin_attempt.
+std::optional<std::uint32_t>
+choose_upstream(const route_view& view, spill_counters& spill, std::span<const std::uint64_t> tried,
+                support::time_point now, support::random_source& random, std::uint32_t kind = 0);
 
 // Counts an attempt that is sent to the upstream.
 void begin_attempt(upstream_load& load);
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -210,9 +210,10 @@
     }
     const auto& routes = view.services[slot];
     call.subset_size = static_cast<std::uint32_t>(routes.route.upstreams.size());
-    const auto chosen = protects() ? decide::choose_upstream(routes.route, board_.spills[slot],
-                                                             call.tried, now, call.home.random)
-                                   : choose_any(routes.route, call.home.random);
+    const auto chosen = protects()
+                            ? decide::choose_upstream(routes.route, board_.spills[slot], call.tried,
+                                                      now, call.home.random, call.request.call.kind)
+                            : choose_any(routes.route, call.home.random);
     if (!chosen) {
       return false;
     }
@@ -268,7 +269,8 @@
     facts.unused_attempts = reply.limit == 0 && reply.outcome == wire::outcome::not_run
                                 ? call.current.lent
                                 : reply.unused_attempts;
-    facts.load = {reply.in_flight, reply.queued, reply.limit, reply.service_time_us};
+    facts.load = {reply.in_flight, reply.queued, reply.limit, reply.service_time_us,
+                  call.request.call.kind};
     facts.upstream_failed = upstream_failed(reply);
     const std::array<std::uint32_t, 1> subjects{call.request.threshold_subject};
     const std::span<const std::uint32_t> learned = reply.limit != 0
--- a/lib/decide/routing.cpp
+++ b/lib/decide/routing.cpp
@@ -32,6 +32,17 @@
 // one's. It answers overload in which the local upstream is the slowest: its queue would grow, and
 // its threshold shed for the whole service, beside others that have room.
 constexpr double remote_advantage = 0.9;
+// A remote upstream with room takes calls of a kind whose time there, times this, is below the
+// local one's. It answers data centres whose servers are slow while nothing is overloaded: their
+// callers would wait twice as long and miss their time-outs.
+constexpr double speed_advantage = 1.5;
+// How much larger a part of its replies may be failures there, in 1/65536: a server that fails at
+// once is fast.
+constexpr std::uint32_t tolerated_failure_part = 4096;
+// A remote upstream's time that is older than this, or not known, is asked for by one call in so
+// many.
+constexpr std::uint32_t kind_time_lifetime_ms = 5000;
+constexpr std::uint64_t calls_for_one_trial = 32;
 // Counts of calls are halved at this number.
 constexpr std::uint32_t spill_window = 1024;
 // Spill below this many calls is not held to the cap.
@@ -54,6 +65,7 @@
   // The ejected upstreams that are left out, a bit for each index.
   std::uint64_t ejected = 0;
   support::time_point now;
+  std::uint32_t kind = 0;
   bool takes_unreachable = false;
 };
 
@@ -142,15 +154,42 @@
   return spilled < spill_allowance + view.spill_cap * spill.calls.load(relaxed);
 }
 
+// A kind's service time as it was last told, in microseconds; 0 for none, or one that is too old.
+std::uint32_t recent_time_us(const upstream_load& load, std::uint32_t kind,
+                             support::time_point now) {
+  const auto told = load.kind_times[kind % remembered_kinds].load(relaxed);
+  const auto age = milliseconds_of(now) - static_cast<std::uint32_t>(told >> 32U);
+  return age <= kind_time_lifetime_ms ? static_cast<std::uint32_t>(told) : 0;
+}
+
+// Whether a call that a local upstream has room for goes to a remote one all the same.
+bool is_faster_elsewhere(const upstream_load& local, const upstream_load& remote,
+                         const eligibility& rule, support::random_source& random) {
+  const double here = recent_time_us(local, rule.kind, rule.now);
+  const double there = recent_time_us(remote, rule.kind, rule.now);
+  if (here == 0.0) {
+    return false;
+  }
+  if (there == 0.0) {
+    return support::uniform_below(random, calls_for_one_trial) == 0;
+  }
+  return there * speed_advantage < here &&
+         remote.failure_part.load(relaxed) <=
+             local.failure_part.load(relaxed) + tolerated_failure_part;
+}
+
 std::optional<std::uint32_t> choose(const route_view& view, spill_counters& spill,
                                     const eligibility& rule, support::random_source& random) {
   const auto all = static_cast<std::uint32_t>(view.upstreams.size());
   const auto local = pick_of_two(view, 0, view.local_count, rule, random);
+  const auto remote = pick_of_two(view, view.local_count, all, rule, random);
   if (local && (local->load < full_load || !spill_is_free(view, spill))) {
-    count_call(spill, false);
-    return local->index;
+    const bool leaves = remote && remote->load < spare_load && spill_is_free(view, spill) &&
+                        is_faster_elsewhere(*view.upstreams[local->index].load,
+                                            *view.upstreams[remote->index].load, rule, random);
+    count_call(spill, leaves);
+    return leaves ? remote->index : local->index;
   }
-  const auto remote = pick_of_two(view, view.local_count, all, rule, random);
   // Without any local upstream the cap would only lose the call.
   const bool spills =
       remote && (!local || remote->load < std::max(std::min(spare_load, local->load),
@@ -188,16 +227,16 @@
 std::optional<std::uint32_t> choose_upstream(const route_view& view, spill_counters& spill,
                                              std::span<const std::uint64_t> tried,
                                              support::time_point now,
-                                             support::random_source& random) {
-  const eligibility strict{tried, ejections_in_force(view, now), now};
+                                             support::random_source& random, std::uint32_t kind) {
+  const eligibility strict{tried, ejections_in_force(view, now), now, kind};
   if (const auto chosen = choose(view, spill, strict, random)) {
     return chosen;
   }
   // An ejected upstream is better than none, and one that may be out of reach is the last resort.
-  if (const auto chosen = choose(view, spill, {tried, 0, now}, random)) {
+  if (const auto chosen = choose(view, spill, {tried, 0, now, kind}, random)) {
     return chosen;
   }
-  return choose(view, spill, {tried, 0, now, true}, random);
+  return choose(view, spill, {tried, 0, now, kind, true}, random);
 }
 
 void begin_attempt(upstream_load& load) {
@@ -213,6 +252,10 @@
   load.queued.store(report.queued, relaxed);
   load.limit.store(report.limit, relaxed);
   load.service_time_us.store(report.service_time_us, relaxed);
+  if (report.service_time_us != 0) {
+    load.kind_times[report.kind % remembered_kinds].store(
+        (std::uint64_t{milliseconds_of(now)} << 32U) | report.service_time_us, relaxed);
+  }
   load.own_when_reported.store(load.own_in_flight.load(relaxed), relaxed);
   load.reported_ms.store(milliseconds_of(now), relaxed);
 }
--- a/unittests/decide/routing_test.cpp
+++ b/unittests/decide/routing_test.cpp
@@ -74,6 +74,56 @@
   CHECK(choose_many(100).rbegin()->first <= 2);
 }
 
+TEST_CASE_METHOD(routing_fixture,
+                 "calls of a kind that takes far longer here go where there is room") {
+  constexpr std::uint32_t slow_kind = 3;
+  constexpr std::uint32_t other_kind = 4;
+  const auto tell = [&](std::size_t index, std::uint32_t in_flight, std::uint32_t time_us) {
+    learn_load(load(index), {in_flight, 0, 10, time_us, slow_kind}, now);
+  };
+  const auto remote_part = [&](std::uint32_t kind) {
+    int remote = 0;
+    for (int call = 0; call < 1000; ++call) {
+      remote += *choose_upstream(view, spill, {}, now, random, kind) >= 3 ? 1 : 0;
+    }
+    return remote;
+  };
+  view.spill_cap = 1.0;
+  for (std::size_t index = 0; index < 3; ++index) {
+    tell(index, 1, 900000);
+  }
+  SECTION("a remote time that is not known is tried now and then") {
+    CHECK(remote_part(slow_kind) > 0);
+    CHECK(remote_part(slow_kind) < 100);
+  }
+  SECTION("twice as fast elsewhere") {
+    for (std::size_t index = 3; index < 6; ++index) {
+      tell(index, 1, 450000);
+    }
+    CHECK(remote_part(slow_kind) == 1000);
+    CHECK(remote_part(other_kind) == 0);
+  }
+  SECTION("little is gained elsewhere") {
+    for (std::size_t index = 3; index < 6; ++index) {
+      tell(index, 1, 700000);
+    }
+    CHECK(remote_part(slow_kind) == 0);
+  }
+  SECTION("no room elsewhere") {
+    for (std::size_t index = 3; index < 6; ++index) {
+      tell(index, 9, 450000);
+    }
+    CHECK(remote_part(slow_kind) == 0);
+  }
+  SECTION("fast since it fails") {
+    for (std::size_t index = 3; index < 6; ++index) {
+      tell(index, 1, 1000);
+      load(index).failure_part = 20000;
+    }
+    CHECK(remote_part(slow_kind) == 0);
+  }
+}
+
 TEST_CASE_METHOD(routing_fixture, "tried and leaving upstreams are left out") {
   view.upstreams[0].draining = true;
   CHECK(choose_many(50, {2}).size() == 1);
