--- a/unittests/support/time_test.cpp
+++ b/unittests/support/time_test.cpp
@@ -14,8 +14,8 @@
 
 } // namespace
 
-// The steady clock stands still while a machine is suspended, and every deadline with it: work whose
-// caller has long gone would be started as if it were in time.
+// The steady clock stands still while a machine is suspended, and every deadline with it: work
+// whose caller has long gone would be started as if it were in time.
 TEST_CASE("the clock of deadlines counts the time for which the machine was suspended") {
   const auto before = time_since_boot();
   const auto now = monotonic_now();
