--- a/include/acaciasill/decide/gate.h
+++ b/include/acaciasill/decide/gate.h
@@ -157,6 +157,10 @@
 // calls of one route must not speak for the short ones of another to the same server.
 support::time_point last_useful_start(const gate& state, const request_facts& request);
 
+// Lowers a remembered service time by a 16th: one that nobody confirms must not keep calls out for
+// ever.
+void forget_time(std::atomic<std::uint32_t>& remembered);
+
 } // namespace acaciasill::decide
 
 #endif
--- a/include/acaciasill/decide/routing.h
+++ b/include/acaciasill/decide/routing.h
@@ -15,7 +15,8 @@
 // The choice of an upstream for a call, from a bounded subset of a service's upstreams.
 namespace acaciasill::decide {
 
-// Service times are remembered by kind of call in this many places, which other kinds may share.
+// Service times of an upstream are remembered by kind of call in this many places, which other
+// kinds may share; fewer than at a gate, since each daemon keeps them for each upstream.
 inline constexpr std::uint32_t remembered_kinds = 16;
 
 // What is known of one upstream's load; shared by all threads and by successive views.
--- a/include/acaciasill/decide/wait_queue.h
+++ b/include/acaciasill/decide/wait_queue.h
@@ -18,8 +18,8 @@
 inline constexpr std::uint32_t most_queue_places = 1024;
 inline constexpr std::uint32_t least_queue_places = 16;
 // Calls that may wait for each slot. It answers overload of a deep service that each request calls
-// several times in a row: one call without a place loses the request and what was done for it. In
-// the loop of overload_test, 2 places a slot lose 0.8 calls for each useful one, 4 and more 0.02.
+// several times in a row: one call without a place loses the request and what was done for it. From
+// the sweep of places in docs/design/overload.md.
 inline constexpr std::uint32_t queue_places_per_slot = 8;
 
 // The places of the queue in front of a backend server with this many slots. Thresholds keep the
--- a/include/acaciasill/wire/call.h
+++ b/include/acaciasill/wire/call.h
@@ -89,7 +89,7 @@
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
   std::uint32_t limit = 0;
-  // Expected service time in microseconds.
+  // Expected service time of the call's kind in microseconds.
   std::uint32_t service_time_us = 0;
   // The generation of the configuration in force at the sender; 0 where it has none.
   std::uint64_t generation = 0;
--- a/lib/decide/gate.cpp
+++ b/lib/decide/gate.cpp
@@ -10,8 +10,6 @@
 constexpr auto relaxed = std::memory_order_relaxed;
 // A call that has less than this part of its kind's expected time left cannot end in time.
 constexpr int hopeless_divisor = 2;
-// What a refusal for want of time takes from the remembered time, so that one that nobody confirms
-// does not keep calls out for ever.
 constexpr std::uint32_t forgetting_divisor = 16;
 // The part of a new service time in the smoothed one is 1 / 2^3.
 constexpr unsigned service_time_shift = 3;
@@ -65,9 +63,7 @@
     return {admission::refuse, result_code::draining, 0, accept_all};
   }
   if (last_useful_start(state, request) <= now) {
-    auto& remembered = state.kind_time_us[request.kind % kind_places];
-    const auto before = remembered.load(relaxed);
-    remembered.store(before - before / forgetting_divisor, relaxed);
+    forget_time(state.kind_time_us[request.kind % kind_places]);
     return refuse(state, view, request, result_code::deadline_exceeded, random);
   }
   auto& counters = state.organisations[request.organisation];
@@ -139,4 +135,9 @@
   return request.deadline - expected_service_time(state, request.kind) / hopeless_divisor;
 }
 
+void forget_time(std::atomic<std::uint32_t>& remembered) {
+  const auto before = remembered.load(relaxed);
+  remembered.store(before - before / forgetting_divisor, relaxed);
+}
+
 } // namespace acaciasill::decide
--- a/lib/decide/threshold_controller.cpp
+++ b/lib/decide/threshold_controller.cpp
@@ -185,11 +185,6 @@
   controller.quiet = 0;
 }
 
-void forget(std::atomic<std::uint32_t>& remembered) {
-  const auto before = remembered.load(relaxed);
-  remembered.store(before - before / 16, relaxed);
-}
-
 double growth_of(const threshold_controller& controller) {
   return std::min(largest_growth, 1.0 + controller.quiet / growth_periods);
 }
@@ -257,9 +252,9 @@
   const double finished = take_figures(state, controller);
   if (finished == 0.0 && state.in_flight.load(relaxed) == 0) {
     // A service time that nobody confirms must not keep calls out.
-    forget(state.service_time_us);
+    forget_time(state.service_time_us);
     for (auto& time : state.kind_time_us) {
-      forget(time);
+      forget_time(time);
     }
   }
   move_budget(state, view, controller);
