Order the handing over of a release for the thread sanitizer

Ruled out: a race of our own; the report names liburcu's frames on both sides. Change: the wait is a release of its own, and handing one over is annotated as the end of a reader's section is. The test is the same.

--- a/lib/board/rcu_cell.cpp
+++ b/lib/board/rcu_cell.cpp
@@ -1,5 +1,6 @@
 #include "acaciasill/board/rcu_cell.h"
 
+#include <atomic>
 #include <memory>
 
 #include <urcu/urcu-memb.h>
@@ -12,7 +13,7 @@
 namespace {
 
 // liburcu orders readers and writers by barriers that the thread sanitizer cannot see; it is told
-// that the end of a reader's section happens before the writer goes on.
+// that the end of a reader's section, and the handing over of a release, happen before the release.
 #if defined(__SANITIZE_THREAD__)
 int reader_order = 0;
 void note_reader_done() {
@@ -32,8 +33,8 @@
 };
 
 void run_release(rcu_head* head) {
-  const std::unique_ptr<waiting_release> waiting(static_cast<waiting_release*>(head));
   note_readers_waited_for();
+  const std::unique_ptr<waiting_release> waiting(static_cast<waiting_release*>(head));
   waiting->release();
 }
 
@@ -59,12 +60,19 @@
 void when_readers_are_done(std::function<void()> release) {
   auto waiting = std::make_unique<waiting_release>();
   waiting->release = std::move(release);
+  note_reader_done();
   // liburcu owns it until it calls back.
   urcu_memb_call_rcu(waiting.release(), run_release);
 }
 
 void wait_for_releases() {
-  urcu_memb_barrier();
+  // Releases run in the order in which they were given. The flag outlives whoever is notified.
+  const auto done = std::make_shared<std::atomic_flag>();
+  when_readers_are_done([done] {
+    done->test_and_set();
+    done->notify_one();
+  });
+  done->wait(false);
 }
 
 } // namespace acaciasill::board
