Jitter pauses by one function

Cause: found in the last read-through: half to the whole of a pause was worked out in five places; the circuit breaker had a function for it, and this change's follower and directory, the peer link and the claims wrote it again. Change: support::jittered serves all five. The draws are the same; the breaker's span is truncated from nanoseconds and no longer from milliseconds, which may differ by a nanosecond. Checked: the 14 tests of ctest, format, names, lint of the five files.

--- a/include/acaciasill/support/random.h
+++ b/include/acaciasill/support/random.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <random>
 
+#include "acaciasill/support/time.h"
+
 namespace acaciasill::support {
 
 // The source of randomness that decisions receive as an argument; the same seed gives the same
@@ -21,6 +23,13 @@
   return static_cast<std::uint64_t>(uniform_unit(random) * static_cast<double>(bound));
 }
 
+// Between half of a pause and the whole of it, so that those who wait for the same do not all come
+// at once.
+inline duration jittered(duration pause, random_source& random) {
+  const double part = 0.5 + uniform_unit(random) / 2;
+  return duration(static_cast<std::int64_t>(static_cast<double>(pause.count()) * part));
+}
+
 } // namespace acaciasill::support
 
 #endif
--- a/lib/control/claims_settling.cpp
+++ b/lib/control/claims_settling.cpp
@@ -75,9 +75,7 @@
   const support::duration least = step.state.settings.min_backoff;
   const support::duration most = step.state.settings.max_backoff;
   group.backoff = std::clamp(group.backoff * 2, least, most);
-  const double part = 0.5 + support::uniform_unit(step.random) / 2;
-  const auto pause = static_cast<std::int64_t>(static_cast<double>(group.backoff.count()) * part);
-  group.ready_at = step.now + support::duration(pause);
+  group.ready_at = step.now + support::jittered(group.backoff, step.random);
   send_later(step, std::move(group));
 }
 
--- a/lib/control/directory.cpp
+++ b/lib/control/directory.cpp
@@ -170,10 +170,7 @@
 void directory::write_again_later() {
   pausing_ = true;
   pause_ = std::clamp<support::duration>(pause_ * 2, min_write_pause, max_write_pause);
-  const double part = 0.5 + support::uniform_unit(random_) / 2;
-  const auto pause =
-      support::duration(static_cast<std::int64_t>(static_cast<double>(pause_.count()) * part));
-  after_(pause, [this, alive = std::weak_ptr(alive_)] {
+  after_(support::jittered(pause_, random_), [this, alive = std::weak_ptr(alive_)] {
     if (!alive.expired()) {
       pausing_ = false;
       write_own();
--- a/lib/control/table_follower.cpp
+++ b/lib/control/table_follower.cpp
@@ -123,11 +123,8 @@
   const support::duration least = settings_.min_pause;
   const support::duration most = settings_.max_pause;
   pause_ = std::clamp(pause_ * 2, least, most);
-  const double part = 0.5 + support::uniform_unit(random_) / 2;
-  const auto pause =
-      support::duration(static_cast<std::int64_t>(static_cast<double>(pause_.count()) * part));
   const auto turn = ++turn_;
-  after_(pause, [this, step, turn, alive = std::weak_ptr(alive_)] {
+  after_(support::jittered(pause_, random_), [this, step, turn, alive = std::weak_ptr(alive_)] {
     if (!alive.expired() && turn == turn_) {
       (this->*step)();
     }
--- a/lib/net/circuit_breaker.cpp
+++ b/lib/net/circuit_breaker.cpp
@@ -7,12 +7,6 @@
 
 constexpr std::uint32_t max_doublings = 20;
 
-// Half to the whole of a span, so that clients do not try in step.
-support::duration jittered(support::milliseconds span, support::random_source& random) {
-  const double part = 0.5 + support::uniform_unit(random) / 2.0;
-  return std::chrono::duration_cast<support::duration>(span * part);
-}
-
 } // namespace
 
 bool may_start(breaker_state& state, support::time_point now) {
@@ -42,7 +36,7 @@
   state.open_for = state.open ? std::min(state.open_for * 2, settings.max_open) : settings.min_open;
   state.open = true;
   state.trial_in_flight = false;
-  state.open_until = now + jittered(state.open_for, random);
+  state.open_until = now + support::jittered(state.open_for, random);
 }
 
 support::duration full_jitter(support::milliseconds base, support::milliseconds cap,
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -362,9 +362,7 @@
   const support::duration least = settings_.min_backoff;
   const support::duration most = settings_.max_backoff;
   backoff_ = std::clamp(backoff_ * 2, least, most);
-  const double part = 0.5 + support::uniform_unit(random_) / 2;
-  const auto pause = static_cast<double>(backoff_.count()) * part;
-  backoff_until_ = monotonic_now() + support::duration(static_cast<std::int64_t>(pause));
+  backoff_until_ = monotonic_now() + support::jittered(backoff_, random_);
 }
 
 void link_to_peer::arm_timer() {
