Read the directory and the configuration from replicas in the data centre

After a restoration of the store from a copy, table_follower read in a circle: a full read with a lower version was taken for an old answer and the changes were read again from the higher version, without a pause.

Change: two daemons of each data centre, the first available ones by the hash of their address, read the store; the others read their copies over HTTP, by turns, and turn to the store if no copy is available. After an answer with changes, the store is read again after a pause. A follower knows the era of the store: a higher one voids all versions and starts a full read with jitter, an answer of a lower one is dropped; without an era, a full read with a lower version counts as a restoration. A second 410 in a row is followed by a pause. A row whose value is not base64 is reported as unreadable instead of empty.

Ruled out: pauses alone (17 calls for each daemon by calculation). A test found that both tables shared the count by which replicas take turns, so that one table was always read from the same replica.

--- a/include/acaciasill/control/directory.h
+++ b/include/acaciasill/control/directory.h
@@ -13,6 +13,7 @@
 
 #include "acaciasill/control/node.h"
 #include "acaciasill/control/table_follower.h"
+#include "acaciasill/control/table_replica.h"
 #include "acaciasill/control/table_store.h"
 
 // Directory of daemons and their backend servers in a table of the platform. Each daemon maintains
@@ -40,6 +41,8 @@
   std::uint64_t instance_start_ms = 0;
   std::uint32_t slots = 0;
   serving_state state = serving_state::absent;
+  // Port at which the daemon answers reads of its copies of the tables; 0 if it does not.
+  std::uint16_t replica_port = 0;
 
   bool operator==(const directory_entry&) const = default;
 };
@@ -55,9 +58,10 @@
 
 // Callbacks of a directory.
 struct directory_callbacks {
-  // An entry has changed.
+  // Entries have changed, or an answer of the store was applied.
   std::function<void()> on_change;
   // As in follower_callbacks.
+  std::function<void(std::uint64_t era)> on_restored;
   std::function<void(bool reached, store_end end)> on_contact_changed;
   // A row could not be decoded.
   std::function<void(const stored_row&, const absl::Status&)> on_unreadable;
@@ -88,12 +92,18 @@
 
   bool is_loaded() const { return follower_.is_loaded(); }
   std::uint64_t version() const { return follower_.version(); }
+  std::uint64_t era() const { return follower_.era(); }
+
+  // Answers other daemons' reads of the table.
+  table_replica& replica() { return replica_; }
 
   // All entries; the local daemon's entry has the value passed to set_local_entry.
   const std::map<std::string, directory_entry>& entries() const { return entries_; }
 
 private:
   void handle_row(const stored_row& row);
+  void handle_restored(std::uint64_t era);
+  void handle_updated();
   void write_local_entry();
   void handle_write_result(const directory_entry& written, const store_result& result);
   void schedule_write_retry();
@@ -114,6 +124,7 @@
   support::duration backoff_{0};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   table_follower follower_;
+  table_replica replica_;
 };
 
 // Returns the entries that accept work in the form that routing uses.
--- /dev/null
+++ b/include/acaciasill/control/replicated_tables.h
@@ -0,0 +1,112 @@
+#ifndef ACACIASILL_CONTROL_REPLICATED_TABLES_H
+#define ACACIASILL_CONTROL_REPLICATED_TABLES_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "acaciasill/control/directory.h"
+#include "acaciasill/control/replica_reads.h"
+#include "acaciasill/control/table_follower.h"
+#include "acaciasill/control/table_replica.h"
+
+namespace acaciasill::control {
+
+// Settings of replicated_tables.
+struct replicated_tables_settings {
+  // Call address of the local daemon, the key of its row.
+  std::string local_address;
+  std::string data_centre;
+  // Table with the configuration of the operator.
+  std::string configuration_table;
+  // Longest waits of reads of changes from the store. Other daemons depend on the readers, so that
+  // a reader has to notice a lost answer soon.
+  support::milliseconds directory_wait{10000};
+  support::milliseconds configuration_wait{4000};
+  // Pauses after an answer of the store with changes.
+  support::milliseconds directory_change_pause{1000};
+  support::milliseconds configuration_change_pause{200};
+  // Time, with jitter, for which a daemon waits for others of its data centre to appear before it
+  // reads the configuration from the store.
+  support::milliseconds settling_time{1500};
+
+  bool operator==(const replicated_tables_settings&) const = default;
+};
+
+// Interfaces that replicated_tables uses.
+struct replicated_tables_environment {
+  table_store store;
+  // Reads from another daemon; the address is a call address, the port is that of its entry.
+  std::function<void(const directory_entry& replica, const table_read&, store_callback)>
+      read_replica;
+  delayed_call run_later;
+  std::function<support::time_point()> now;
+  std::uint64_t seed = 0;
+};
+
+// Callbacks of replicated_tables.
+struct replicated_tables_callbacks {
+  directory_callbacks members;
+  // A row of the configuration table is new, changed or removed.
+  std::function<void(const stored_row&)> on_configuration;
+  // As in follower_callbacks, for the configuration table.
+  std::function<void(std::uint64_t era)> on_configuration_restored;
+  std::function<void(bool reached, store_end end)> on_configuration_contact;
+  // The daemons whose copies are read have changed; none if the store is read.
+  std::function<void(const std::vector<std::string>& call_addresses)> on_replicas;
+};
+
+// The directory and the configuration of one daemon. A few daemons of each data centre read the
+// store; the others read the copies of these, and the store only if the copies are not available.
+// Any daemon may read the store at any time. Used on the control thread only.
+class replicated_tables {
+public:
+  replicated_tables(const replicated_tables_settings& settings,
+                    replicated_tables_environment environment,
+                    replicated_tables_callbacks callbacks);
+  replicated_tables(const replicated_tables&) = delete;
+  replicated_tables& operator=(const replicated_tables&) = delete;
+  ~replicated_tables();
+
+  void start();
+
+  // Revises the choice of replicas; to be called periodically.
+  void revise();
+
+  // Reads the configuration again, from the store itself.
+  void refresh_configuration();
+
+  directory& members() { return members_; }
+  const directory& members() const { return members_; }
+
+  // Copy of a table for other daemons; nullptr if there is none.
+  table_replica* find_replica(std::string_view table);
+
+  const replica_reads& reads() const { return reads_; }
+
+private:
+  void handle_members_changed();
+  void start_configuration();
+  void read_replica(const std::string& address, const table_read& read, store_callback done);
+  bool is_alone_in_data_centre() const;
+
+  replicated_tables_settings settings_;
+  replicated_tables_environment environment_;
+  replicated_tables_callbacks callbacks_;
+  support::random_source random_;
+  replica_reads reads_;
+  // Reads through reads_, writes to the store.
+  table_store store_;
+  directory members_;
+  table_follower configuration_;
+  table_replica configuration_replica_;
+  bool is_configuration_started_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace acaciasill::control
+
+#endif
--- a/include/acaciasill/control/table_follower.h
+++ b/include/acaciasill/control/table_follower.h
@@ -20,6 +20,11 @@
   // Bounds of the exponential backoff, with jitter, after a failed call.
   support::milliseconds min_backoff{100};
   support::milliseconds max_backoff{1000};
+  // Pause, with jitter, between an answer of the store that holds changes and the next read, so
+  // that a burst of changes takes few reads. Replicas are read without a pause.
+  support::milliseconds change_pause{0};
+  // Upper bound of the random delay before the table is read again after the store was restored.
+  support::milliseconds restore_spread{300};
 
   bool operator==(const follower_settings&) const = default;
 };
@@ -28,15 +33,18 @@
 struct follower_callbacks {
   // A row is new, changed or removed.
   std::function<void(const stored_row&)> on_change;
-  // The whole table was read, and on_change was called for every difference.
-  std::function<void()> on_loaded;
+  // on_change was called for every change of an answer.
+  std::function<void()> on_updated;
+  // The store was restored from a copy: versions known from before are void. on_change is called
+  // for every row of the following full read.
+  std::function<void(std::uint64_t era)> on_restored;
   // The result of calls to the store changed between success and failure.
   std::function<void(bool reached, store_end end)> on_contact_changed;
 };
 
 // Maintains a copy of one table: reads it whole, then follows its change feed, and reads it whole
-// again if a call fails or the feed no longer reaches back far enough. A failed call never removes
-// rows. Used on the control thread only.
+// again if a call fails, the feed no longer reaches back far enough, or the store was restored from
+// a copy. A failed call never removes rows. Used on the control thread only.
 class table_follower {
 public:
   table_follower(follower_settings settings, const table_store& store, delayed_call run_later,
@@ -56,12 +64,28 @@
   std::uint64_t version() const { return version_; }
   bool is_loaded() const { return is_loaded_; }
 
+  // Whether the table was read since the store was last restored.
+  bool is_current() const { return is_loaded_ && !is_restored_; }
+
+  // Latest era of the store; 0 if it states none.
+  std::uint64_t era() const { return era_; }
+
+  // Whether the last call succeeded.
+  bool is_reachable() const { return is_reachable_; }
+
+  // Takes note of an era found in the answer to another call.
+  void observe_era(std::uint64_t era);
+
 private:
   void read_all();
   void handle_full_read(const store_result& result);
   void read_changes();
   void handle_changes(const store_result& result);
   void apply(const stored_row& row);
+  bool is_outdated(const store_result& result) const;
+  void enter_era(std::uint64_t era);
+  void void_versions();
+  void continue_reading(bool pauses);
   void report_contact(bool reached, store_end end);
   void schedule_retry(void (table_follower::*operation)());
 
@@ -72,6 +96,11 @@
   follower_callbacks callbacks_;
   std::map<std::string, stored_row> rows_;
   std::uint64_t version_ = 0;
+  std::uint64_t era_ = 0;
+  // Whether the store was restored and the table has not been read again since.
+  bool is_restored_ = false;
+  // Whether the last read of changes found the history gone.
+  bool was_history_gone_ = false;
   bool is_loaded_ = false;
   bool is_reachable_ = false;
   bool has_reported_contact_ = false;
--- a/include/acaciasill/control/table_store.h
+++ b/include/acaciasill/control/table_store.h
@@ -8,8 +8,8 @@
 
 #include "acaciasill/support/time.h"
 
-// Interface to a platform's table service with a change feed. Reads are linearizable; every change
-// of any row increments one version number of the table.
+// Interface to a platform's table service with a change feed. Reads are linearizable, except those
+// that a replica answers; every change of any row increments one version number of the table.
 namespace acaciasill::control {
 
 // One row of a table.
@@ -20,6 +20,8 @@
   std::uint64_t version = 0;
   // Whether the row was removed; set only in the change feed.
   bool removed = false;
+  // Whether the value could not be decoded; it is then empty.
+  bool unreadable = false;
 
   bool operator==(const stored_row&) const = default;
 };
@@ -40,20 +42,36 @@
   std::vector<stored_row> rows;
   // Table version up to which the rows are complete.
   std::uint64_t version = 0;
+  // Number of times that the store was restored from a copy, if the store states it, or 0. A
+  // restored store has lost its last changes and assigns their versions again, so that versions of
+  // different eras cannot be compared.
+  std::uint64_t era = 0;
+  // Whether the result is the copy of another daemon, which may be older than the store's state.
+  bool from_replica = false;
 
   bool operator==(const store_result&) const = default;
 };
 
 using store_callback = std::function<void(store_result)>;
 
+// Position in the change feed of a table.
+struct feed_position {
+  // Table version up to which the reader knows all changes.
+  std::uint64_t version = 0;
+  // Era of the version; 0 if unknown.
+  std::uint64_t era = 0;
+
+  bool operator==(const feed_position&) const = default;
+};
+
 // The operations. Each invokes its callback once, asynchronously, on the control thread.
 struct table_store {
   // Reads all rows of a table.
   std::function<void(const std::string& table, store_callback)> read_all;
 
-  // Reads the rows changed after the given version. Answers as soon as there are any, or when the
+  // Reads the rows changed after the given position. Answers as soon as there are any, or when the
   // wait time is over.
-  std::function<void(const std::string& table, std::uint64_t after, support::milliseconds wait,
+  std::function<void(const std::string& table, feed_position after, support::milliseconds wait,
                      store_callback)>
       read_changes;
 
--- a/lib/control/directory.cpp
+++ b/lib/control/directory.cpp
@@ -37,6 +37,7 @@
                       {"i", entry.instance},
                       {"b", entry.instance_start_ms},
                       {"c", entry.slots},
+                      {"r", entry.replica_port},
                       {"t", state_names[static_cast<std::size_t>(entry.state)]}};
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -52,6 +53,7 @@
     entry.instance = parsed.at("i").get<std::string>();
     entry.instance_start_ms = parsed.at("b").get<std::uint64_t>();
     entry.slots = parsed.at("c").get<std::uint32_t>();
+    entry.replica_port = parsed.value("r", std::uint16_t{0});
     const auto state = parse_state(parsed.at("t").get<std::string>());
     if (state) {
       entry.state = *state;
@@ -69,14 +71,14 @@
                      directory_callbacks callbacks)
     : local_address_(std::move(local_address)), store_(store), run_later_(std::move(run_later)),
       random_(seed), callbacks_(std::move(callbacks)),
-      follower_(
-          std::move(settings), store, run_later_, seed + 1,
-          {[this](const stored_row& row) { handle_row(row); },
-           [this] {
-             write_local_entry();
-             callbacks_.on_change();
-           },
-           [this](bool reached, store_end end) { callbacks_.on_contact_changed(reached, end); }}) {}
+      follower_(std::move(settings), store, run_later_, seed + 1,
+                {[this](const stored_row& row) { handle_row(row); }, [this] { handle_updated(); },
+                 [this](std::uint64_t era) { handle_restored(era); },
+                 [this](bool reached, store_end end) {
+                   replica_.handle_updated();
+                   callbacks_.on_contact_changed(reached, end);
+                 }}),
+      replica_(follower_, run_later_) {}
 
 void directory::start() {
   follower_.start();
@@ -93,8 +95,13 @@
 }
 
 void directory::handle_row(const stored_row& row) {
+  if (row.removed) {
+    replica_.handle_removed();
+  }
   const bool is_local = row.key == local_address_;
-  auto decoded = decode_entry(row.key, row.value);
+  auto decoded = row.unreadable ? support::make_error(support::result_code::frame_corrupt,
+                                                      "directory row is not encoded as text")
+                                : decode_entry(row.key, row.value);
   if (!row.removed && !decoded.ok()) {
     callbacks_.on_unreadable(row, decoded.status());
   }
@@ -116,13 +123,23 @@
   } else {
     entries_.erase(row.key);
   }
-  if (follower_.is_loaded()) {
-    callbacks_.on_change();
-  }
+}
+
+void directory::handle_updated() {
+  write_local_entry();
+  replica_.handle_updated();
+  callbacks_.on_change();
+}
+
+// The row has to be written again under the version that the next full read finds.
+void directory::handle_restored(std::uint64_t era) {
+  local_version_ = 0;
+  stored_local_entry_.reset();
+  callbacks_.on_restored(era);
 }
 
 void directory::write_local_entry() {
-  if (!local_entry_ || is_writing_ || is_backing_off_ || !follower_.is_loaded() ||
+  if (!local_entry_ || is_writing_ || is_backing_off_ || !follower_.is_current() ||
       stored_local_entry_ == local_entry_) {
     return;
   }
@@ -140,6 +157,12 @@
 void directory::handle_write_result(const directory_entry& written, const store_result& result) {
   is_writing_ = false;
   callbacks_.on_written(written, result.end);
+  follower_.observe_era(result.era);
+  if (result.era != 0 && result.era < follower_.era()) {
+    // The restored store does not hold the result.
+    schedule_write_retry();
+    return;
+  }
   switch (result.end) {
   case store_end::done:
     backoff_ = support::duration(0);
--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -8,10 +8,11 @@
 #include <asio/steady_timer.hpp>
 #include <prometheus/text_serializer.h>
 
+#include "absl/strings/str_join.h"
+
 #include "acaciasill/board/call_board.h"
-#include "acaciasill/control/directory.h"
+#include "acaciasill/control/replicated_tables.h"
 #include "acaciasill/control/stopping.h"
-#include "acaciasill/control/table_follower.h"
 #include "acaciasill/daemon/call_metrics.h"
 #include "acaciasill/daemon/call_plane.h"
 #include "acaciasill/daemon/entry_calls.h"
@@ -22,6 +23,7 @@
 #include "acaciasill/support/result_code.h"
 
 #include "directory_support.h"
+#include "replica_service.h"
 
 namespace acaciasill::daemon {
 namespace {
@@ -34,6 +36,10 @@
 constexpr support::milliseconds housekeeping_period{100};
 // Interval of probes while the backend server is lost or unknown.
 constexpr support::milliseconds probe_period{500};
+// Interval at which the choice of replicas is revised, besides at each change of the directory.
+constexpr support::milliseconds replica_choice_period{500};
+constexpr std::size_t replica_connections = 4;
+constexpr std::size_t max_replica_answer_bytes = std::size_t{16} << 20U;
 
 } // namespace
 
@@ -45,7 +51,8 @@
         plane_({settings.threads, settings.peer_listen, peer_settings_for_directory(),
                 settings.max_body_bytes, operating_mode::protect},
                adapter_.protocol, board_, metrics_),
-        timer_(context), routing_{settings.name, settings.data_centre, {}} {}
+        timer_(context), replica_client_(context, replica_connections, max_replica_answer_bytes),
+        routing_{settings.name, settings.data_centre, {}} {}
 
   ~implementation() { plane_.stop_threads(); }
 
@@ -105,7 +112,11 @@
     metrics_server_ = std::make_unique<net::http_server>(
         context_, listen_settings(*address, settings_.max_body_bytes),
         net::http_server_callbacks{
-            [this](const net::http_request& /*request*/, const net::http_responder& respond) {
+            [this](const net::http_request& request, const net::http_responder& respond) {
+              if (is_table_read(request)) {
+                serve_table_read(request, *tables_, respond);
+                return;
+              }
               respond(metrics_page());
             },
             [](std::uint64_t) {}});
@@ -136,36 +147,61 @@
   }
 
   void start_followers() {
-    control::follower_settings members;
-    members.table = control::directory_table;
-    directory_ = std::make_unique<control::directory>(
-        plane_.call_address(), members, adapter_.store, delayed_call(), random_seed(),
-        control::directory_callbacks{
-            [this] { on_members(); },
-            [this](bool reached, store_end end) { on_store_contact("directory", reached, end); },
-            [](const control::stored_row& row, const absl::Status& status) {
-              write_event(log_level::warning, "directory", "skipped invalid directory row",
-                          {{"key", row.key},
-                           {"row_version", std::to_string(row.version)},
-                           {"reason", std::string(status.message())}});
+    control::replicated_tables_settings tables;
+    tables.local_address = plane_.call_address();
+    tables.data_centre = settings_.data_centre;
+    tables.configuration_table = adapter_.configuration_table;
+    tables_ = std::make_unique<control::replicated_tables>(
+        tables,
+        control::replicated_tables_environment{
+            adapter_.store,
+            [this](const control::directory_entry& replica, const control::table_read& read,
+                   control::store_callback done) {
+              read_from_replica(replica, read, std::move(done));
             },
-            [](const control::directory_entry& entry, store_end end) {
-              write_event(log_level::info, "directory", "wrote own directory row",
-                          {{"instance", entry.instance},
-                           {"state", std::to_string(static_cast<int>(entry.state))},
-                           {"end", name_of(end)}});
-            }});
-    control::follower_settings configuration;
-    configuration.table = adapter_.configuration_table;
-    configuration_ = std::make_unique<control::table_follower>(
-        configuration, adapter_.store, delayed_call(), random_seed(),
-        control::follower_callbacks{
-            [this](const control::stored_row& row) { on_configuration_row(row); }, [] {},
-            [this](bool reached, store_end end) {
-              on_store_contact("configuration", reached, end);
-            }});
-    directory_->start();
-    configuration_->start();
+            delayed_call(), support::monotonic_now, random_seed()},
+        table_callbacks());
+    tables_->start();
+  }
+
+  control::replicated_tables_callbacks table_callbacks() {
+    return {
+        {[this] { on_members(); }, [](std::uint64_t era) { on_store_restored("directory", era); },
+         [this](bool reached, store_end end) { on_store_contact("directory", reached, end); },
+         [](const control::stored_row& row, const absl::Status& status) {
+           write_event(log_level::warning, "directory", "skipped invalid directory row",
+                       {{"key", row.key},
+                        {"row_version", std::to_string(row.version)},
+                        {"reason", std::string(status.message())}});
+         },
+         [](const control::directory_entry& entry, store_end end) {
+           write_event(log_level::info, "directory", "wrote own directory row",
+                       {{"instance", entry.instance},
+                        {"state", std::to_string(static_cast<int>(entry.state))},
+                        {"end", name_of(end)}});
+         }},
+        [this](const control::stored_row& row) { on_configuration_row(row); },
+        [](std::uint64_t era) { on_store_restored("configuration", era); },
+        [this](bool reached, store_end end) { on_store_contact("configuration", reached, end); },
+        [this](const std::vector<std::string>& replicas) { on_replicas(replicas); }};
+  }
+
+  void read_from_replica(const control::directory_entry& replica, const control::table_read& read,
+                         control::store_callback done) {
+    const auto call_address = net::parse_peer_address(replica.call_address);
+    if (!call_address.ok()) {
+      asio::post(context_, [done = std::move(done)] { done({store_end::failed_before, {}, 0}); });
+      return;
+    }
+    send_table_read(replica_client_, {call_address->address(), replica.replica_port}, read,
+                    std::move(done));
+  }
+
+  void on_replicas(const std::vector<std::string>& replicas) {
+    write_event(log_level::info, "directory",
+                replicas.empty() ? "reads the store" : "reads copies of other daemons",
+                {{"replicas", absl::StrJoin(replicas, " ")},
+                 {"directory_version", std::to_string(tables_->members().version())}});
   }
 
   void on_store_contact(const char* what, bool reached, store_end end) {
@@ -174,20 +210,25 @@
                 {{"for", what}, {"end", name_of(end)}});
   }
 
+  static void on_store_restored(const char* what, std::uint64_t era) {
+    write_event(log_level::warning, "store", "store was restored from a copy",
+                {{"for", what}, {"era", std::to_string(era)}});
+  }
+
   // Applies the backend state from the directory row written by an earlier process of this daemon.
   void apply_recovered_row() {
-    if (recovered_row_applied_ || !directory_ || !directory_->is_loaded()) {
+    if (recovered_row_applied_ || !tables_ || !tables_->members().is_loaded()) {
       return;
     }
     recovered_row_applied_ = true;
-    if (const auto& own = directory_->initial_local_entry()) {
+    if (const auto& own = tables_->members().initial_local_entry()) {
       const bool leaving = own->state == control::serving_state::leaving;
       if (control::apply_stored_state(backend_state_, own->instance, own->instance_start_ms,
                                       leaving)) {
         write_event(log_level::info, "backend",
                     "directory row records that the backend server is leaving",
                     {{"instance", own->instance},
-                     {"directory_version", std::to_string(directory_->version())}});
+                     {"directory_version", std::to_string(tables_->members().version())}});
         publish_backend();
       }
     }
@@ -197,7 +238,10 @@
     if (row.key != adapter_.configuration_key || row.removed) {
       return;
     }
-    auto published = adapter_.read_configuration(row);
+    auto published = row.unreadable
+                         ? absl::StatusOr<published_configuration>(support::make_error(
+                               support::result_code::frame_corrupt, "row value is not base64"))
+                         : adapter_.read_configuration(row);
     if (!published.ok()) {
       write_event(log_level::error, "configuration", "cannot parse configuration",
                   {{"row_version", std::to_string(row.version)},
@@ -231,8 +275,9 @@
 
   void on_members() {
     apply_recovered_row();
-    publish_routing(board_, routing_,
-                    control::make_cluster_view(directory_->entries(), directory_->version()));
+    publish_routing(
+        board_, routing_,
+        control::make_cluster_view(tables_->members().entries(), tables_->members().version()));
   }
 
   // Publishes the backend server's state to the call board and to the directory.
@@ -269,6 +314,7 @@
     entry.instance = backend_state_.report.instance;
     entry.instance_start_ms = backend_state_.report.start_ms;
     entry.slots = backend_state_.report.slots;
+    entry.replica_port = metrics_server_->port();
     using control::backend_availability;
     if (backend_state_.availability == backend_availability::leaving) {
       entry.state = control::serving_state::leaving;
@@ -279,7 +325,7 @@
     }
     // While the state is unknown, the row written by an earlier process is left in place.
     if (backend_state_.availability != backend_availability::unknown) {
-      directory_->set_local_entry(entry);
+      tables_->members().set_local_entry(entry);
     }
   }
 
@@ -335,6 +381,10 @@
       const auto now = support::monotonic_now();
       check_backend(now);
       check_generation_lag(now);
+      if (now >= next_replica_choice_) {
+        next_replica_choice_ = now + replica_choice_period;
+        tables_->revise();
+      }
       advance_stop(now);
       support::flush_log();
       schedule_housekeeping();
@@ -373,7 +423,7 @@
                  {"heard", std::to_string(board_.generations.highest_seen.load())},
                  {"lag_ms", std::to_string(support::whole_milliseconds(
                                 now - generation_lag_.since.value_or(now)))}});
-    configuration_->refresh();
+    tables_->refresh_configuration();
   }
 
   void apply_probe(const std::optional<backend_probe>& probe) {
@@ -448,10 +498,11 @@
   call_metrics metrics_;
   call_plane plane_;
   asio::steady_timer timer_;
+  net::http_client replica_client_;
   routing_publisher routing_;
   std::unique_ptr<net::http_server> metrics_server_;
-  std::unique_ptr<control::directory> directory_;
-  std::unique_ptr<control::table_follower> configuration_;
+  std::unique_ptr<control::replicated_tables> tables_;
+  support::time_point next_replica_choice_{};
   control::backend_state backend_state_;
   std::uint64_t version_in_force_ = 0;
   board::generation_lag generation_lag_;
--- a/unittests/control/directory_test.cpp
+++ b/unittests/control/directory_test.cpp
@@ -1,5 +1,7 @@
 #include "acaciasill/control/directory.h"
 
+#include <utility>
+
 #include <catch2/catch.hpp>
 
 #include "control/table_fixture.h"
@@ -14,8 +16,8 @@
 
 struct test_directory {
   explicit test_directory(manual_store& platform)
-      : members("10.0.0.1:1", {directory_table, {}, {}, {}}, platform.store, platform.after(), 1,
-                {[this] { ++changes; }, [](bool, store_end) {},
+      : members("10.0.0.1:1", {.table = directory_table}, platform.store, platform.after(), 1,
+                {[this] { ++changes; }, [](std::uint64_t) {}, [](bool, store_end) {},
                  [this](const stored_row&, const absl::Status&) { ++unreadable; },
                  [](const directory_entry&, store_end) {}}) {
     members.start();
@@ -116,3 +118,66 @@
   REQUIRE(view.members.size() == 1);
   CHECK(view.members.front().call_address == "10.0.0.2:1");
 }
+
+TEST_CASE("a row lost in the restoration of the store is written again") {
+  manual_store platform;
+  platform.era = GENERATE(std::uint64_t{0}, std::uint64_t{5});
+  platform.put("other", "o", "1");
+  platform.take_copy();
+  test_directory own(platform);
+  own.members.set_local_entry(entry("10.0.0.1:1"));
+  platform.answer();
+  platform.answer_changes();
+  REQUIRE(platform.writes == 1);
+  platform.restore();
+  platform.answer_changes();
+  platform.fire_timers();
+  CHECK(platform.writes == 2);
+  CHECK(test_directory::stored(platform) == entry("10.0.0.1:1"));
+}
+
+TEST_CASE("a departure that the restored store has lost is written again") {
+  manual_store platform;
+  platform.era = 5;
+  test_directory own(platform);
+  own.members.set_local_entry(entry("10.0.0.1:1"));
+  platform.answer();
+  platform.take_copy();
+  own.members.set_local_entry(entry("10.0.0.1:1", serving_state::leaving));
+  platform.answer();
+  platform.restore();
+  REQUIRE(test_directory::stored(platform).state == serving_state::ready);
+  platform.answer_changes();
+  platform.fire_timers();
+  CHECK(test_directory::stored(platform).state == serving_state::leaving);
+}
+
+TEST_CASE("a write whose answer precedes the restoration is not taken as stored") {
+  manual_store platform;
+  platform.era = 5;
+  platform.take_copy();
+  test_directory own(platform);
+  platform.holds_answers = true;
+  own.members.set_local_entry(entry("10.0.0.1:1"));
+  platform.answer();
+  platform.holds_answers = false;
+  platform.restore();
+  platform.answer_changes();
+  platform.fire_timers();
+  for (const auto& late : std::exchange(platform.held, {})) {
+    late();
+  }
+  platform.fire_timers();
+  platform.answer_changes();
+  REQUIRE(platform.rows[directory_table].count("10.0.0.1:1") == 1);
+  CHECK(test_directory::stored(platform) == entry("10.0.0.1:1"));
+}
+
+TEST_CASE("a value that is not text is skipped like any other unreadable row") {
+  manual_store platform;
+  platform.put(directory_table, "10.0.0.2:1", encode_entry(entry("10.0.0.2:1")));
+  platform.rows[directory_table]["10.0.0.2:1"].unreadable = true;
+  test_directory own(platform);
+  CHECK(own.unreadable == 1);
+  CHECK(own.members.entries().empty());
+}
--- a/unittests/control/table_fixture.h
+++ b/unittests/control/table_fixture.h
@@ -19,20 +19,20 @@
     store.read_all = [this](const std::string& table, store_callback done) {
       ++reads;
       pending.push_back([this, table, done = std::move(done)] {
-        done(call_result != store_end::done ? store_result{call_result, {}, 0}
-                                            : store_result{store_end::done, all(table), version});
+        deliver(done, call_result != store_end::done ? make_result(call_result)
+                                                     : make_result(store_end::done, all(table)));
       });
     };
-    store.read_changes = [this](const std::string& table, std::uint64_t after,
+    store.read_changes = [this](const std::string& table, feed_position position,
                                 support::milliseconds, store_callback done) {
-      waiting.push_back([this, table, after, done = std::move(done)] {
-        if (is_history_gone) {
-          done({store_end::history_gone, {}, 0});
+      waiting.push_back([this, table, after = position.version, done = std::move(done)] {
+        if (is_history_gone || after > version) {
+          deliver(done, make_result(store_end::history_gone));
           return;
         }
-        done(call_result != store_end::done
-                 ? store_result{call_result, {}, 0}
-                 : store_result{store_end::done, changes(table, after), version});
+        deliver(done, call_result != store_end::done
+                          ? make_result(call_result)
+                          : make_result(store_end::done, changes(table, after)));
       });
     };
     store.write = [this](const std::string& table, const stored_row& row, std::uint64_t expected,
@@ -53,6 +53,19 @@
     rows[table][key] = {key, "", ++version, true};
   }
 
+  // Takes a copy of all rows, which restore() returns to.
+  void take_copy() {
+    copied_rows = rows;
+    copied_version = version;
+  }
+
+  // Returns to the copy: later changes are lost, and their versions are assigned again.
+  void restore() {
+    rows = copied_rows;
+    version = copied_version;
+    era += era != 0 ? 1 : 0;
+  }
+
   // Answers all pending reads and writes and those that result from the answers.
   void answer() {
     while (!pending.empty()) {
@@ -87,6 +100,13 @@
   table_store store;
   std::map<std::string, std::map<std::string, stored_row>> rows;
   std::uint64_t version = 0;
+  // Era in the answers; 0 if the store states none.
+  std::uint64_t era = 0;
+  std::map<std::string, std::map<std::string, stored_row>> copied_rows;
+  std::uint64_t copied_version = 0;
+  // Results are determined but not delivered; the test delivers them through `held`.
+  bool holds_answers = false;
+  std::vector<std::function<void()>> held;
   // Result of all calls, unless it is done.
   store_end call_result = store_end::done;
   bool is_history_gone = false;
@@ -99,6 +119,19 @@
   std::vector<std::function<void()>> timers;
 
 private:
+  store_result make_result(store_end end, std::vector<stored_row> result_rows = {}) const {
+    const auto stated = end == store_end::done || end == store_end::conflict ? version : 0;
+    return {end, std::move(result_rows), stated, era, false};
+  }
+
+  void deliver(const store_callback& done, store_result result) {
+    if (holds_answers) {
+      held.push_back([done, result = std::move(result)] { done(result); });
+    } else {
+      done(std::move(result));
+    }
+  }
+
   std::vector<stored_row> all(const std::string& table) {
     std::vector<stored_row> result;
     for (const auto& [key, row] : rows[table]) {
@@ -122,19 +155,19 @@
   void write(const std::string& table, const stored_row& row, std::uint64_t expected,
              const store_callback& done) {
     if (call_result != store_end::done) {
-      done({call_result, {}, 0});
+      deliver(done, make_result(call_result));
       return;
     }
-    const auto held = rows[table].find(row.key);
-    const bool exists = held != rows[table].end() && !held->second.removed;
-    const auto present = exists ? held->second.version : 0;
+    const auto stored = rows[table].find(row.key);
+    const bool exists = stored != rows[table].end() && !stored->second.removed;
+    const auto present = exists ? stored->second.version : 0;
     if (present != expected) {
-      done({store_end::conflict, exists ? std::vector{held->second} : std::vector<stored_row>{},
-            version});
+      deliver(done, make_result(store_end::conflict,
+                                exists ? std::vector{stored->second} : std::vector<stored_row>{}));
       return;
     }
     put(table, row.key, row.value);
-    done({loses_answers ? store_end::unknown : store_end::done, {}, version});
+    deliver(done, make_result(loses_answers ? store_end::unknown : store_end::done));
   }
 };
 
