Wait for the readers of the data centre when the whole system starts

Change: after a directory without rows the next read follows after 1.5 to 3 s, and the configuration is read when the readers have had time to read it. A daemon that finds rows waits for nothing.

--- a/include/acaciasill/control/replicated_tables.h
+++ b/include/acaciasill/control/replicated_tables.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,9 +30,11 @@
   // Pauses after an answer of the store with changes.
   support::milliseconds directory_change_pause{1000};
   support::milliseconds configuration_change_pause{200};
-  // Time, with jitter, for which a daemon waits for others of its data centre to appear before it
-  // reads the configuration from the store.
-  support::milliseconds settling_time{1500};
+  // Pauses while the whole system starts, with jitter: after the directory was found empty, so that
+  // the rows of the others are there at the next read, and before the readers are asked for the
+  // configuration, so that they have it.
+  support::milliseconds empty_directory_pause{3000};
+  support::milliseconds readers_start_time{2000};
 
   bool operator==(const replicated_tables_settings&) const = default;
 };
@@ -92,6 +95,7 @@
   void start_configuration();
   void read_replica(const std::string& address, const table_read& read, store_callback done);
   bool is_alone_in_data_centre() const;
+  void start_configuration_after(support::duration delay);
 
   replicated_tables_settings settings_;
   replicated_tables_environment environment_;
@@ -104,6 +108,8 @@
   table_follower configuration_;
   table_replica configuration_replica_;
   bool is_configuration_started_ = false;
+  // Whether the first read of the directory found no other daemon of the data centre.
+  std::optional<bool> found_directory_empty_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/acaciasill/control/table_follower.h
+++ b/include/acaciasill/control/table_follower.h
@@ -23,6 +23,8 @@
   // Pause, with jitter, between an answer of the store that holds changes and the next read, so
   // that a burst of changes takes few reads. Replicas are read without a pause.
   support::milliseconds change_pause{0};
+  // Pause, with jitter, after a full read of the store that found the table empty.
+  support::milliseconds empty_pause{0};
   // Upper bound of the random delay before the table is read again after the store was restored.
   support::milliseconds restore_spread{300};
 
@@ -85,7 +87,7 @@
   bool is_outdated(const store_result& result) const;
   void enter_era(std::uint64_t era);
   void void_versions();
-  void continue_reading(bool pauses);
+  void continue_reading(support::milliseconds pause);
   void report_contact(bool reached, store_end end);
   void schedule_retry(void (table_follower::*operation)());
 
--- a/lib/control/replicated_tables.cpp
+++ b/lib/control/replicated_tables.cpp
@@ -13,6 +13,7 @@
   result.table = directory_table;
   result.wait = settings.directory_wait;
   result.change_pause = settings.directory_change_pause;
+  result.empty_pause = settings.empty_directory_pause;
   return result;
 }
 
@@ -84,22 +85,36 @@
 }
 
 // Starts to follow the configuration once the directory is known. When the whole system starts, the
-// directory is still empty, and all daemons would read the store.
+// directory is empty at first, and all daemons would read the store.
 void replicated_tables::start_configuration() {
   if (is_configuration_started_ || !members_.is_loaded()) {
     return;
   }
-  is_configuration_started_ = true;
-  if (!is_alone_in_data_centre()) {
-    configuration_.start();
+  const bool is_alone = is_alone_in_data_centre();
+  if (!found_directory_empty_) {
+    found_directory_empty_ = is_alone;
+    if (is_alone) {
+      // A daemon that stays alone does not wait for others for ever.
+      start_configuration_after(settings_.empty_directory_pause + settings_.readers_start_time);
+    }
+  }
+  if (is_alone) {
     return;
   }
-  environment_.run_later(support::jittered(settings_.settling_time, random_),
-                         [this, alive = std::weak_ptr(alive_)] {
-                           if (!alive.expired()) {
-                             configuration_.start();
-                           }
-                         });
+  if (*found_directory_empty_ && !reads_.replicas().empty()) {
+    start_configuration_after(support::jittered(settings_.readers_start_time, random_));
+  } else {
+    start_configuration_after(support::duration(0));
+  }
+}
+
+// Starts to follow the configuration after the delay unless it has started before.
+void replicated_tables::start_configuration_after(support::duration delay) {
+  environment_.run_later(delay, [this, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired() && !std::exchange(is_configuration_started_, true)) {
+      configuration_.start();
+    }
+  });
 }
 
 bool replicated_tables::is_alone_in_data_centre() const {
--- a/lib/control/table_follower.cpp
+++ b/lib/control/table_follower.cpp
@@ -75,7 +75,8 @@
   version_ = result.version;
   is_loaded_ = true;
   callbacks_.on_updated();
-  continue_reading(!result.from_replica);
+  const auto pause = result.rows.empty() ? settings_.empty_pause : settings_.change_pause;
+  continue_reading(result.from_replica ? support::milliseconds(0) : pause);
 }
 
 void table_follower::read_changes() {
@@ -124,17 +125,18 @@
   if (!result.rows.empty()) {
     callbacks_.on_updated();
   }
-  continue_reading(!result.rows.empty() && !result.from_replica);
+  const bool pauses = !result.rows.empty() && !result.from_replica;
+  continue_reading(pauses ? settings_.change_pause : support::milliseconds(0));
 }
 
-// Reads the next changes, after a pause if the store itself has just returned rows.
-void table_follower::continue_reading(bool pauses) {
-  if (!pauses || settings_.change_pause.count() == 0) {
+// Reads the next changes after a pause with jitter, or at once.
+void table_follower::continue_reading(support::milliseconds pause) {
+  if (pause.count() == 0) {
     read_changes();
     return;
   }
   const auto request_number = ++request_number_;
-  run_later_(support::jittered(settings_.change_pause, random_),
+  run_later_(support::jittered(pause, random_),
              [this, request_number, alive = std::weak_ptr(alive_)] {
                if (!alive.expired() && request_number == request_number_) {
                  read_changes();
--- a/unittests/control/table_follower_test.cpp
+++ b/unittests/control/table_follower_test.cpp
@@ -187,7 +187,6 @@
 TEST_CASE("a burst of changes takes one read after the first") {
   manual_store platform;
   followed_table table(platform, {.table = "t", .change_pause = acaciasill::support::seconds(1)});
-  platform.fire_timers();
   platform.put("t", "a", "1");
   platform.answer_changes();
   CHECK(table.follower.rows().count("a") == 1);
