Give up an answer of interim or foreign responses that never end

Cause: a server in trouble may send bytes that are no answer without end. Heads, bodies, chunk extensions and trailers were bounded already, but interim responses and responses to other requests were discarded one after the other until the request's deadline, at the full rate of the connection.

Change: an exchange discards at most 16 such messages and then ends as broken, so that its outcome counts as unknown.

--- a/lib/net/client_connection.cpp
+++ b/lib/net/client_connection.cpp
@@ -20,6 +20,9 @@
 // Margin before the keep-alive timeout of the server within which a connection is not reused.
 constexpr support::milliseconds keep_alive_margin{500};
 constexpr std::uint16_t first_final_status = 200;
+// Number of interim responses and of responses to earlier requests that one exchange discards. A
+// server that sends more of them may never end.
+constexpr std::uint32_t max_discarded_messages = 16;
 
 const http_parser_settings parser_settings = parser_callbacks<client_connection>();
 
@@ -90,6 +93,7 @@
   sent_ = false;
   response_started_ = false;
   response_complete_ = false;
+  discarded_messages_ = 0;
   message_ = {};
   head_request_ = request.method == "HEAD";
   correlation_field_ = request.correlation_field;
@@ -257,14 +261,12 @@
 
 int client_connection::on_message_complete() {
   if (parser_.status_code < first_final_status) {
-    message_ = {};
-    return 0;
+    return discard_message();
   }
   if (is_mismatched_response()) {
     ++shared_state_->counters.mismatched_responses;
-    message_ = {};
     // No further response can follow on a connection that is being closed.
-    return http_should_keep_alive(&parser_) != 0 ? 0 : 1;
+    return http_should_keep_alive(&parser_) != 0 ? discard_message() : 1;
   }
   response_complete_ = true;
   parse_keep_alive_timeout();
@@ -272,6 +274,12 @@
   return 0;
 }
 
+// Returns a result for the parser: an error ends the exchange.
+int client_connection::discard_message() {
+  message_ = {};
+  return ++discarded_messages_ > max_discarded_messages ? 1 : 0;
+}
+
 bool client_connection::is_mismatched_response() const {
   if (correlation_value_.empty()) {
     return false;
--- a/lib/net/client_connection.h
+++ b/lib/net/client_connection.h
@@ -78,6 +78,7 @@
   void parse_bytes(std::size_t count);
   void handle_eof();
   bool is_mismatched_response() const;
+  int discard_message();
   void finish(exchange_end end, bool reusable);
   void handle_idle_close();
   void parse_keep_alive_timeout();
@@ -88,6 +89,8 @@
   std::function<void()> on_idle_close_;
   http_parser parser_{};
   http_message message_;
+  // Number of messages that the current exchange has discarded.
+  std::uint32_t discarded_messages_ = 0;
   bool head_request_ = false;
   std::string correlation_field_;
   std::string correlation_value_;
