Show the state of the tables on the metrics page, and test reads between daemons

The metrics page shows the versions of the directory, the era of the store, whether copies of other daemons are read, and the numbers of reads by source. directory_daemon keeps what connects its parts; logging of the tables, timers, and the effect of a probe on the state of the backend server moved to where they are tested.

End-to-end tests on loopback: a store restored from a copy, a value that is not base64 in both tables, and reads of a copy over HTTP with their status codes.

--- a/include/acaciasill/control/backend_state.h
+++ b/include/acaciasill/control/backend_state.h
@@ -89,6 +89,11 @@
   return state.availability == backend_availability::serving;
 }
 
+// Applies the result of a health check by which the server is healthy and not leaving. A number of
+// 0 slots keeps the known one.
+void apply_healthy_probe(backend_state& state, const std::string& instance, std::uint32_t slots,
+                         support::time_point now);
+
 } // namespace acaciasill::control
 
 #endif
--- a/lib/control/backend_state.cpp
+++ b/lib/control/backend_state.cpp
@@ -114,4 +114,16 @@
   return true;
 }
 
+void apply_healthy_probe(backend_state& state, const std::string& instance, std::uint32_t slots,
+                         support::time_point now) {
+  // The sequence is kept, so that the next report of the server itself is not treated as stale.
+  state.report.start_ms = state.report.instance == instance ? state.report.start_ms : 0;
+  state.report.instance = instance;
+  state.report.slots = slots != 0 ? slots : state.report.slots;
+  state.report.draining = false;
+  state.availability = backend_availability::serving;
+  state.last_heard = now;
+  state.consecutive_refusals = 0;
+}
+
 } // namespace acaciasill::control
--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -8,8 +8,6 @@
 #include <asio/steady_timer.hpp>
 #include <prometheus/text_serializer.h>
 
-#include "absl/strings/str_join.h"
-
 #include "acaciasill/board/call_board.h"
 #include "acaciasill/control/replicated_tables.h"
 #include "acaciasill/control/stopping.h"
@@ -129,23 +127,15 @@
     for (auto& family : collect_call_gauges(board_)) {
       families.push_back(std::move(family));
     }
+    for (auto& family : collect_table_metrics(*tables_)) {
+      families.push_back(std::move(family));
+    }
     return {200,
             {{"content-type", "text/plain; version=0.0.4; charset=utf-8"}},
             serializer.Serialize(families),
             false};
   }
 
-  control::delayed_call delayed_call() {
-    return [this](support::duration delay, std::function<void()> function) {
-      auto timer = std::make_shared<asio::steady_timer>(context_, delay);
-      timer->async_wait([timer, function = std::move(function)](asio::error_code error) {
-        if (!error) {
-          function();
-        }
-      });
-    };
-  }
-
   void start_followers() {
     control::replicated_tables_settings tables;
     tables.local_address = plane_.call_address();
@@ -157,62 +147,24 @@
             adapter_.store,
             [this](const control::directory_entry& replica, const control::table_read& read,
                    control::store_callback done) {
-              read_from_replica(replica, read, std::move(done));
+              send_table_read(context_, replica_client_, replica, read, std::move(done));
             },
-            delayed_call(), support::monotonic_now, random_seed()},
+            make_delayed_call(context_), support::monotonic_now, random_seed()},
         table_callbacks());
     tables_->start();
   }
 
   control::replicated_tables_callbacks table_callbacks() {
-    return {
-        {[this] { on_members(); }, [](std::uint64_t era) { on_store_restored("directory", era); },
-         [this](bool reached, store_end end) { on_store_contact("directory", reached, end); },
-         [](const control::stored_row& row, const absl::Status& status) {
-           write_event(log_level::warning, "directory", "skipped invalid directory row",
-                       {{"key", row.key},
-                        {"row_version", std::to_string(row.version)},
-                        {"reason", std::string(status.message())}});
-         },
-         [](const control::directory_entry& entry, store_end end) {
-           write_event(log_level::info, "directory", "wrote own directory row",
-                       {{"instance", entry.instance},
-                        {"state", std::to_string(static_cast<int>(entry.state))},
-                        {"end", name_of(end)}});
-         }},
-        [this](const control::stored_row& row) { on_configuration_row(row); },
-        [](std::uint64_t era) { on_store_restored("configuration", era); },
-        [this](bool reached, store_end end) { on_store_contact("configuration", reached, end); },
-        [this](const std::vector<std::string>& replicas) { on_replicas(replicas); }};
-  }
-
-  void read_from_replica(const control::directory_entry& replica, const control::table_read& read,
-                         control::store_callback done) {
-    const auto call_address = net::parse_peer_address(replica.call_address);
-    if (!call_address.ok()) {
-      asio::post(context_, [done = std::move(done)] { done({store_end::failed_before, {}, 0}); });
-      return;
-    }
-    send_table_read(replica_client_, {call_address->address(), replica.replica_port}, read,
-                    std::move(done));
-  }
-
-  void on_replicas(const std::vector<std::string>& replicas) {
-    write_event(log_level::info, "directory",
-                replicas.empty() ? "reads the store" : "reads copies of other daemons",
-                {{"replicas", absl::StrJoin(replicas, " ")},
-                 {"directory_version", std::to_string(tables_->members().version())}});
-  }
-
-  void on_store_contact(const char* what, bool reached, store_end end) {
-    write_event(reached ? log_level::info : log_level::warning, "store",
-                reached ? "store answers" : "store does not answer",
-                {{"for", what}, {"end", name_of(end)}});
-  }
-
-  static void on_store_restored(const char* what, std::uint64_t era) {
-    write_event(log_level::warning, "store", "store was restored from a copy",
-                {{"for", what}, {"era", std::to_string(era)}});
+    return {{[this] { on_members(); },
+             [](std::uint64_t era) { log_store_restored("directory", era); },
+             [](bool reached, store_end end) { log_store_contact("directory", reached, end); },
+             log_invalid_row, log_written_row},
+            [this](const control::stored_row& row) { on_configuration_row(row); },
+            [](std::uint64_t era) { log_store_restored("configuration", era); },
+            [](bool reached, store_end end) { log_store_contact("configuration", reached, end); },
+            [this](const std::vector<std::string>& replicas) {
+              log_replicas(replicas, tables_->members().version());
+            }};
   }
 
   // Applies the backend state from the directory row written by an earlier process of this daemon.
@@ -437,20 +389,11 @@
     if (backend_state_.availability == backend_availability::leaving) {
       return;
     }
-    control::backend_report report = backend_state_.report;
-    const bool is_same_instance = report.instance == probe->instance;
-    report.instance = probe->instance;
-    report.start_ms = is_same_instance ? report.start_ms : 0;
-    // The next report of the server itself must not be treated as stale.
-    report.sequence = backend_state_.report.sequence;
-    report.slots = probe->slots != 0 ? probe->slots : report.slots;
-    report.draining = false;
+    control::apply_healthy_probe(backend_state_, probe->instance, probe->slots,
+                                 support::monotonic_now());
     write_event(log_level::info, "backend", "backend server found by probe",
-                {{"instance", report.instance}, {"slots", std::to_string(report.slots)}});
-    backend_state_.report = report;
-    backend_state_.availability = backend_availability::serving;
-    backend_state_.last_heard = support::monotonic_now();
-    backend_state_.consecutive_refusals = 0;
+                {{"instance", backend_state_.report.instance},
+                 {"slots", std::to_string(backend_state_.report.slots)}});
     publish_backend();
   }
 
--- a/lib/daemon/directory_support.cpp
+++ b/lib/daemon/directory_support.cpp
@@ -1,8 +1,19 @@
 #include "directory_support.h"
 
+#include <memory>
+#include <utility>
+
+#include <asio/steady_timer.hpp>
+
+#include "absl/strings/str_join.h"
+
+#include "acaciasill/support/log.h"
+
 namespace acaciasill::daemon {
 
 using control::store_end;
+using support::log_level;
+using support::write_event;
 
 const char* name_of(store_end end) {
   switch (end) {
@@ -40,6 +51,49 @@
   return "none";
 }
 
+void log_store_contact(const char* table, bool reached, store_end end) {
+  write_event(reached ? log_level::info : log_level::warning, "store",
+              reached ? "store answers" : "store does not answer",
+              {{"for", table}, {"end", name_of(end)}});
+}
+
+void log_store_restored(const char* table, std::uint64_t era) {
+  write_event(log_level::warning, "store", "store was restored from a copy",
+              {{"for", table}, {"era", std::to_string(era)}});
+}
+
+void log_invalid_row(const control::stored_row& row, const absl::Status& status) {
+  write_event(log_level::warning, "directory", "skipped invalid directory row",
+              {{"key", row.key},
+               {"row_version", std::to_string(row.version)},
+               {"reason", std::string(status.message())}});
+}
+
+void log_written_row(const control::directory_entry& entry, store_end end) {
+  write_event(log_level::info, "directory", "wrote own directory row",
+              {{"instance", entry.instance},
+               {"state", std::to_string(static_cast<int>(entry.state))},
+               {"end", name_of(end)}});
+}
+
+void log_replicas(const std::vector<std::string>& call_addresses, std::uint64_t version) {
+  write_event(log_level::info, "directory",
+              call_addresses.empty() ? "reads the store" : "reads copies of other daemons",
+              {{"replicas", absl::StrJoin(call_addresses, " ")},
+               {"directory_version", std::to_string(version)}});
+}
+
+control::delayed_call make_delayed_call(asio::io_context& context) {
+  return [&context](support::duration delay, std::function<void()> function) {
+    auto timer = std::make_shared<asio::steady_timer>(context, delay);
+    timer->async_wait([timer, function = std::move(function)](asio::error_code error) {
+      if (!error) {
+        function();
+      }
+    });
+  };
+}
+
 net::peer_settings peer_settings_for_directory() {
   net::peer_settings settings;
   // The platform isolates its network, so the ports between daemons are not reachable from outside.
--- a/lib/daemon/directory_support.h
+++ b/lib/daemon/directory_support.h
@@ -2,8 +2,15 @@
 #define ACACIASILL_LIB_DAEMON_DIRECTORY_SUPPORT_H
 
 #include <cstdint>
+#include <string>
+#include <vector>
+
+#include <asio/io_context.hpp>
+
+#include "absl/status/status.h"
 
 #include "acaciasill/control/backend_state.h"
+#include "acaciasill/control/directory.h"
 #include "acaciasill/control/table_store.h"
 #include "acaciasill/net/http_server.h"
 #include "acaciasill/net/peer_settings.h"
@@ -15,6 +22,20 @@
 const char* name_of(control::store_end end);
 const char* name_of(control::report_effect effect);
 
+// Log the results of calls to the store for the table, and its restoration from a copy.
+void log_store_contact(const char* table, bool reached, control::store_end end);
+void log_store_restored(const char* table, std::uint64_t era);
+
+// Log a directory row that cannot be decoded, and the end of a write of the local daemon's row.
+void log_invalid_row(const control::stored_row& row, const absl::Status& status);
+void log_written_row(const control::directory_entry& entry, control::store_end end);
+
+// Logs which daemons' copies are read; none if the store is read.
+void log_replicas(const std::vector<std::string>& call_addresses, std::uint64_t version);
+
+// Returns a function that runs functions on the context after a delay.
+control::delayed_call make_delayed_call(asio::io_context& context);
+
 // Returns the settings of peer connections between daemons of one directory.
 net::peer_settings peer_settings_for_directory();
 
--- a/lib/daemon/process_metrics.cpp
+++ b/lib/daemon/process_metrics.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "acaciasill/board/call_board.h"
+#include "acaciasill/control/replicated_tables.h"
 #include "acaciasill/net/gossip_socket.h"
 
 namespace acaciasill::daemon {
@@ -49,6 +50,26 @@
   };
 }
 
+std::vector<prometheus::MetricFamily>
+collect_table_metrics(const control::replicated_tables& tables) {
+  const auto number = [](auto value) { return static_cast<double>(value); };
+  const auto& reads = tables.reads();
+  return {
+      gauge("acaciasill_directory_version", "version of the directory",
+            number(tables.members().version())),
+      gauge("acaciasill_directory_entries", "daemons in the directory",
+            number(tables.members().entries().size())),
+      gauge("acaciasill_store_era", "era of the store, 0 if it states none",
+            number(tables.members().era())),
+      gauge("acaciasill_table_replicas", "daemons whose copies are read, 0 if the store is read",
+            number(reads.replicas().size())),
+      counter("acaciasill_store_reads_total", "reads from the store",
+              number(reads.direct_read_count())),
+      counter("acaciasill_replica_reads_total", "reads from the copies of other daemons",
+              number(reads.replica_read_count())),
+  };
+}
+
 std::vector<prometheus::MetricFamily> collect_process_metrics(const board::call_board& board,
                                                               const net::gossip_counters& gossip) {
   auto families = collect_call_gauges(board);
--- a/lib/daemon/replica_service.cpp
+++ b/lib/daemon/replica_service.cpp
@@ -5,6 +5,9 @@
 #include <string_view>
 #include <utility>
 
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+
 #include "acaciasill/support/log.h"
 #include "acaciasill/wire/table_answer.h"
 
@@ -102,10 +105,16 @@
   replica->read_changes({read_number(query, "after"), read_number(query, "era")}, wait, answer);
 }
 
-void send_table_read(net::http_client& client, const net::peer_address& address,
-                     const control::table_read& read, control::store_callback done) {
+void send_table_read(asio::io_context& context, net::http_client& client,
+                     const control::directory_entry& replica, const control::table_read& read,
+                     control::store_callback done) {
+  const auto call_address = net::parse_peer_address(replica.call_address);
+  if (!call_address.ok()) {
+    asio::post(context, [done = std::move(done)] { done({store_end::failed_before, {}, 0}); });
+    return;
+  }
   net::client_request request;
-  request.address = address;
+  request.address = {call_address->address(), replica.replica_port};
   request.method = "GET";
   request.target = std::string(path_prefix) + read.table;
   if (read.after) {
--- a/lib/daemon/replica_service.h
+++ b/lib/daemon/replica_service.h
@@ -18,9 +18,10 @@
 void serve_table_read(const net::http_request& request, control::replicated_tables& tables,
                       const net::http_responder& respond);
 
-// Sends a read of a table to the replica at the address.
-void send_table_read(net::http_client& client, const net::peer_address& address,
-                     const control::table_read& read, control::store_callback done);
+// Sends a read of a table to a replica. The client runs on the context.
+void send_table_read(asio::io_context& context, net::http_client& client,
+                     const control::directory_entry& replica, const control::table_read& read,
+                     control::store_callback done);
 
 } // namespace acaciasill::daemon
 
--- a/unittests/control/backend_state_test.cpp
+++ b/unittests/control/backend_state_test.cpp
@@ -98,3 +98,23 @@
   CHECK(check_report_timeout(state, start + seconds(12), seconds(6)));
   CHECK_FALSE(is_serving(state));
 }
+
+TEST_CASE("a healthy probe restores a lost server without making its next report stale") {
+  backend_state state;
+  backend_report known;
+  known.instance = "i-1";
+  known.start_ms = 7;
+  known.sequence = 4;
+  known.slots = 36;
+  state.report = known;
+  state.availability = backend_availability::lost;
+  apply_healthy_probe(state, "i-1", 0, time_point{});
+  CHECK(is_serving(state));
+  CHECK(state.report.start_ms == 7);
+  CHECK(state.report.slots == 36);
+  CHECK(state.report.sequence == 4);
+  apply_healthy_probe(state, "i-2", 12, time_point{});
+  CHECK(state.report.instance == "i-2");
+  CHECK(state.report.start_ms == 0);
+  CHECK(state.report.slots == 12);
+}
--- a/unittests/platform/end_to_end_test.cpp
+++ b/unittests/platform/end_to_end_test.cpp
@@ -8,6 +8,7 @@
 #include "acaciasill/board/rcu_cell.h"
 #include "acaciasill/net/http_client.h"
 #include "acaciasill/net/http_text.h"
+#include "acaciasill/wire/table_answer.h"
 
 #include "node.h"
 #include "standin/backend_server.h"
@@ -232,6 +233,40 @@
     CHECK(cluster.call_until("/c/d/x", 200).status == 200);
     CHECK(cluster.call("/b/x").status == 404);
   }
+  SECTION("a restored store changes nothing that is in force, and later changes apply") {
+    cluster.store.take_copy();
+    cluster.store.put("op", "config", configuration("00000002", "/c/"));
+    REQUIRE(cluster.call_until("/c/x", 200).status == 200);
+    cluster.store.restore();
+    CHECK(cluster.call("/c/x").status == 200);
+    CHECK(cluster.call("/b/x").status == 404);
+    cluster.store.put("op", "config", configuration("00000003", "/d/"));
+    CHECK(cluster.call_until("/d/x", 200).status == 200);
+  }
+  SECTION("a row that is not base64 is skipped") {
+    cluster.store.put_unreadable("op", "config");
+    cluster.store.put_unreadable("acaciasill-members", "127.0.0.9:1");
+    CHECK(cluster.call("/a/x").status == 200);
+    cluster.store.put("op", "config", configuration("00000003", "/d/"));
+    CHECK(cluster.call_until("/d/x", 200).status == 200);
+  }
+  SECTION("another daemon can read the copy of a table") {
+    net::client_request read;
+    read.method = "GET";
+    read.target = "/tables/op";
+    const auto whole = cluster.send("127.0.0.2", 1, read);
+    REQUIRE(whole.status == 200);
+    const auto rows = wire::decode_table_answer(whole.body);
+    REQUIRE(rows.ok());
+    REQUIRE(rows->rows.size() == 1);
+    CHECK(rows->rows.front().value == configuration("00000001", "/b/"));
+    read.target = "/tables/op?after=0&era=" + std::to_string(rows->era) + "&wait_ms=0";
+    CHECK(cluster.send("127.0.0.2", 1, read).status == 200);
+    read.target = "/tables/op?after=0&era=0&wait_ms=0";
+    CHECK(cluster.send("127.0.0.2", 1, read).status == 410);
+    read.target = "/tables/unknown";
+    CHECK(cluster.send("127.0.0.2", 1, read).status == 404);
+  }
   SECTION("a request with an unknown outcome is not retried and a refusal gives 503") {
     cluster.back.set_behaviour(backend_behaviour::omit_signature);
     const auto executed_before = cluster.back.executed_requests().size();
