Use one name for a service in the settings and in the configuration

The configuration used the encoded name, the settings and so the directory the plain one. Names that need encoding for another reason had this fault before.

Ruled out: the replicas (all daemons had the configuration and 195 rows before traffic began).

Change: the settings keep the platform's name for the Caller field and derive the project's name with the same function.

The end-to-end tests now use such a name; with the plain name in the settings they fail (checked), and a test of the settings compares both names.

--- a/unittests/net/endless_answer_test.cpp
+++ b/unittests/net/endless_answer_test.cpp
@@ -75,7 +75,7 @@
       {"zero bytes", "", std::string(1, '\0')},
       {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
       {"responses to another request", "",
-       "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n"},
+       "HTTP/1.1 200 OK\r\nCall-Number: other\r\nContent-Length: 0\r\n\r\n"},
       {"a body without a length", "HTTP/1.1 200 OK\r\n\r\n", "x"},
       {"a body with a huge length", "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", "x"},
       {"chunks", chunked, "1\r\nx\r\n"},
@@ -89,8 +89,8 @@
   client_request request;
   request.address = server.address();
   request.method = "GET";
-  request.headers = {{"Request-Id", "own"}};
-  request.correlation_field = "Request-Id";
+  request.headers = {{"Call-Number", "own"}};
+  request.correlation_field = "Call-Number";
   request.timeout = support::seconds(60);
   std::optional<client_response> result;
   client.send(request, [&result](client_response response) { result = std::move(response); });
--- a/unittests/platform/end_to_end_test.cpp
+++ b/unittests/platform/end_to_end_test.cpp
@@ -10,12 +10,13 @@
 #include "acaciasill/net/http_text.h"
 #include "acaciasill/wire/table_answer.h"
 
+#include "configuration_row.h"
 #include "node.h"
 #include "standin/backend_server.h"
 #include "standin/table_service.h"
 
 // End-to-end tests of the platform adapter: two daemons, their backend servers and the table
-// service on loopback.
+// service on loopback. The name of the second service is one that the adapter has to encode.
 
 using namespace acaciasill;
 using namespace acaciasill::platform;
@@ -59,12 +60,12 @@
   return R"({"version":")" + version +
          R"(","routes":{)"
          R"("r-1":{"host":"h.example","prefix":"/a/","kind":"idempotent","timeout_s":2,)"
-         R"("target_latency_s":1,"priority":1,"service":"back","attempts":2},)"
+         R"("target_latency_s":1,"priority":1,"service":"nox78a","attempts":2},)"
          R"("r-2":{"host":"h.example","prefix":")" +
          second_prefix +
          R"(","kind":"non_idempotent","timeout_s":0.4,)"
-         R"("target_latency_s":1,"priority":0,"service":"back","attempts":2}},)"
-         R"("services":{"front":{"health_path":"/health"},"back":{"health_path":"/health"}},)"
+         R"("target_latency_s":1,"priority":0,"service":"nox78a","attempts":2}},)"
+         R"("services":{"front":{"health_path":"/health"},"nox78a":{"health_path":"/health"}},)"
          R"("limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_s":3,)"
          R"("idle_timeout_s":15}})";
 }
@@ -82,7 +83,7 @@
     store.put("op", "config", configuration("00000001", "/b/"));
     first_port = free_ports();
     nodes.push_back(std::make_unique<running_node>(settings("127.0.0.2", "front", front.port())));
-    nodes.push_back(std::make_unique<running_node>(settings("127.0.0.3", "back", back.port())));
+    nodes.push_back(std::make_unique<running_node>(settings("127.0.0.3", "nox78a", back.port())));
   }
 
   // Returns the first of five consecutive ports that are free on both addresses; the daemons share
@@ -109,7 +110,8 @@
     result.daemon.name = "n-" + service;
     result.daemon.data_centre = "dc";
     result.daemon.region = "r";
-    result.daemon.service = service;
+    result.platform_service = service;
+    result.daemon.service = encode_service_name(service);
     result.daemon.peer_listen = at(0);
     result.daemon.metrics_listen = at(1);
     result.daemon.callers_listen = at(2);
@@ -149,7 +151,7 @@
     net::client_request request;
     request.method = "POST";
     request.target = "/api/Instances.Heartbeat/i-back";
-    request.body = R"({"service":"back","address":"127.0.0.3:1","zone":"dc","version":"v",)"
+    request.body = R"({"service":"nox78a","address":"127.0.0.3:1","zone":"dc","version":"v",)"
                    R"("capacity":4,"born":7,"state":")" +
                    state + R"(","warmup_left_s":0,"sequence":)" + std::to_string(sequence) + "}";
     CHECK(send("127.0.0.3", 4, request).status == 200);
--- /dev/null
+++ b/unittests/platform/settings_test.cpp
@@ -0,0 +1,33 @@
+#include "settings.h"
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+
+#include "configuration_row.h"
+
+using namespace acaciasill::platform;
+
+TEST_CASE("the service has the same name in the settings and in the configuration") {
+  for (const std::string service : {"huvo11a", "nox78a37d", "A_b"}) {
+    const auto path = (std::filesystem::temp_directory_path() /
+                       ("acaciasill-settings-" + std::to_string(::getpid())))
+                          .string();
+    std::ofstream(path) << "name: n\ndata_centre: d\nregion: r\nservice: \"" << service
+                        << "\"\nown_ip: 127.0.0.1\nbackend_address: 127.0.0.1:1\n"
+                           "callers_listen: 127.0.0.1:2\nready_listen: 127.0.0.1:3\n"
+                           "reports_listen: 127.0.0.1:4\nfirst_port: 7000\n"
+                           "store_address: 127.0.0.1:5\n";
+    node_settings settings;
+    const auto findings = read_node_settings(path, settings);
+    std::remove(path.c_str());
+    REQUIRE(findings.empty());
+    CHECK(settings.platform_service == service);
+    CHECK(settings.daemon.service == encode_service_name(service));
+  }
+}
