Log and count the rate that a backend server states

Callers: two servers of flatfinder got 1.6 and 1.7 times the rate that they had stated.

The daemon beside a server now logs each change of the stated rate with the number of calls started, and serves both as metrics. Nothing is decided by them yet.

--- a/include/acaciasill/board/call_board.h
+++ b/include/acaciasill/board/call_board.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 #include "acaciasill/board/generation_watch.h"
@@ -72,6 +73,10 @@
   std::atomic<bool> leaving{false};
   // Number of calls from callers and from peers that have not been answered yet.
   std::atomic<std::uint64_t> calls_in_flight{0};
+  // Number of calls sent to the local backend server.
+  std::atomic<std::uint64_t> calls_started{0};
+  // Calls per second that the local backend server states to take; infinity if it states no limit.
+  std::atomic<double> stated_rate{std::numeric_limits<double>::infinity()};
   // Number of calls that the local backend server refused for load since the last limit window.
   std::atomic<std::uint32_t> backend_sheds{0};
 };
--- a/include/acaciasill/wire/call.h
+++ b/include/acaciasill/wire/call.h
@@ -2,6 +2,7 @@
 #define ACACIASILL_WIRE_CALL_H
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -93,6 +94,9 @@
   std::uint32_t service_time_us = 0;
   // Generation of the configuration in force at the sender; 0 if there is none.
   std::uint64_t generation = 0;
+  // Calls per second that the backend server states to take from all daemons together, infinity if
+  // its answer states no limit; absent if the reply is not based on such an answer.
+  std::optional<double> stated_rate;
 
   bool operator==(const call_reply&) const = default;
 };
--- a/lib/daemon/process_metrics.cpp
+++ b/lib/daemon/process_metrics.cpp
@@ -45,6 +45,11 @@
       gauge("acaciasill_upstream_in_flight", "calls that run in the local backend server",
             gate.in_flight.load()),
       gauge("acaciasill_upstream_waiting", "calls that wait for a slot", gate.waiting.load()),
+      counter("acaciasill_upstream_started_total", "calls sent to the local backend server",
+              value_of(board.calls_started)),
+      gauge("acaciasill_upstream_stated_rate",
+            "calls per second that the local backend server states to take",
+            board.stated_rate.load()),
       gauge("acaciasill_calls_in_flight", "calls of callers and peers without an answer",
             value_of(board.calls_in_flight)),
   };
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -24,6 +24,8 @@
 
 // Maximum rate of log lines about individual calls, per process.
 constexpr std::uint32_t call_log_lines_per_second = 10;
+// Maximum rate of log lines about the rate that the backend server states.
+constexpr std::uint32_t rate_log_lines_per_second = 2;
 
 // Stage of a call at the upstream's daemon.
 enum class call_stage : std::uint8_t { waiting, claiming, running, ended };
@@ -224,6 +226,7 @@
   void run(request_thread& home, running_call& call) {
     call.stage = call_stage::running;
     call.started = support::monotonic_now();
+    board_.calls_started.fetch_add(1, std::memory_order_relaxed);
     environment_.metrics->observe(home.index, call.facts.organisation, call.request.rank,
                                   time_kind::queueing, call.started - call.arrived);
     call.parent = decide::open_parent(board_.parents, call.facts.id,
@@ -250,6 +253,7 @@
     auto& call = *found->second;
     environment_.observer.on_exchange(response.end != net::exchange_end::not_sent);
     auto reply = environment_.protocol->interpret_response(call.request, std::move(response));
+    record_stated_rate(reply);
     if (call.parent) {
       const auto summary =
           decide::close_parent(board_.parents, *call.parent, call.request.lent_attempts);
@@ -265,6 +269,25 @@
     finish(home, call, std::move(reply));
   }
 
+  void record_stated_rate(const wire::call_reply& reply) {
+    if (!reply.stated_rate) {
+      return;
+    }
+    const auto before = board_.stated_rate.exchange(*reply.stated_rate, std::memory_order_relaxed);
+    if (before == *reply.stated_rate) {
+      return;
+    }
+    std::uint32_t dropped = 0;
+    if (rate_log_budget_.allow(support::monotonic_now(), dropped)) {
+      support::write_event(
+          support::log_level::info, "upstream", "backend server states another rate limit",
+          {{"before", std::to_string(before)},
+           {"calls_per_s", std::to_string(*reply.stated_rate)},
+           {"calls_started", std::to_string(board_.calls_started.load(std::memory_order_relaxed))},
+           {"lines_dropped_before", std::to_string(dropped)}});
+    }
+  }
+
   void release_slot(const running_call& call, const wire::call_reply& reply) {
     if (reply.code == result_code::backend_shed) {
       board_.backend_sheds.fetch_add(1, std::memory_order_relaxed);
@@ -417,6 +440,7 @@
   std::vector<std::uint64_t> last_ids_;
   upstream_queue queue_;
   support::log_rate_limiter call_log_budget_{call_log_lines_per_second};
+  support::log_rate_limiter rate_log_budget_{rate_log_lines_per_second};
 };
 
 upstream_calls::upstream_calls(upstream_environment environment)
--- a/unittests/platform/edge_test.cpp
+++ b/unittests/platform/edge_test.cpp
@@ -1,5 +1,7 @@
 #include "edge.h"
 
+#include <cmath>
+
 #include <catch2/catch.hpp>
 
 #include "acaciasill/daemon/request_thread.h"
@@ -71,6 +73,23 @@
   CHECK(field(answer, "Server-Load") == nullptr);
 }
 
+TEST_CASE("the rate that a backend server states is read from its answers") {
+  CHECK(interpret(200, {{"Server-Stamp", "s"}, {"Server-Limit", "65.3"}}).stated_rate == 65.3);
+  CHECK(interpret(500, {{"Server-Stamp", "s"}, {"Server-Limit", "0"}}).stated_rate == 0.0);
+  CHECK(interpret(503, {{"Not-Run", "1"}, {"Server-Limit", "8"}}).stated_rate == 8.0);
+  CHECK(std::isinf(*interpret(200, {{"Server-Stamp", "s"}}).stated_rate));
+  // An answer that is not the server's, or not a complete one, does not end a limit.
+  CHECK_FALSE(interpret(503, {{"Not-Run", "1"}}).stated_rate.has_value());
+  CHECK_FALSE(interpret(200, {{"Server-Limit", "8"}}).stated_rate.has_value());
+  CHECK_FALSE(interpret(421, {}).stated_rate.has_value());
+  for (const auto* invalid : {"", "x", "-1", "nan", "inf", "8x", "1e999"}) {
+    const auto reply = interpret(200, {{"Server-Stamp", "s"}, {"Server-Limit", invalid}});
+    CHECK_FALSE(reply.stated_rate.has_value());
+  }
+  wire::call_request call;
+  CHECK_FALSE(protocol.interpret_response(call, {exchange_end::broken, 0, {}, ""}).stated_rate);
+}
+
 TEST_CASE("status 503 is used only for the outcome not_run") {
   wire::call_reply reply;
   reply.outcome = outcome::not_run;
