Bound the rate of calls to a server that states a limit

Callers saw no errors, but a server that had stated 65.3 calls a second got 102 (410 in 4 s, 397 allowed), another with 51.5 got 89.

Cause: no daemon read the statement. The daemon beside a server bounded the calls in flight (247), which at 60 to 200 ms a call is no bound on their rate. Ruled out: calls that pass the gate by (the gate's own count of starts is what arrives), and a limit that each sender takes for its own (nothing kept one).

Every call to a server passes through the daemon beside it, so that daemon now bounds the starts for all of them: decide/rate_limit spaces calls by the stated rate with 0.1 s of burst, as a second condition for a slot. Calls that have to wait are queued, shed and refused by the same thresholds as before; replies report the slots that the rate amounts to, so that senders turn to other servers. Replies carry the rate to the senders and their calls carry it back, so that a restarted daemon knows it before its first call. A limit ends after three answers without one, since answers may be processed out of order.

--- a/benchmarks/decide_micro.cpp
+++ b/benchmarks/decide_micro.cpp
@@ -95,7 +95,7 @@
   const auto length = static_cast<std::uint32_t>(bench.range(0));
   support::random_source random(1);
   gate counters(8, 1);
-  take_slot(counters, 0);
+  take_slot(counters, 0, {});
   const auto view = make_view(8, length);
   wait_queue queue(8, length);
   std::vector<dropped_call> dropped;
--- a/include/acaciasill/board/call_board.h
+++ b/include/acaciasill/board/call_board.h
@@ -3,7 +3,6 @@
 
 #include <atomic>
 #include <cstdint>
-#include <limits>
 #include <vector>
 
 #include "acaciasill/board/generation_watch.h"
@@ -75,8 +74,6 @@
   std::atomic<std::uint64_t> calls_in_flight{0};
   // Number of calls sent to the local backend server.
   std::atomic<std::uint64_t> calls_started{0};
-  // Calls per second that the local backend server states to take; infinity if it states no limit.
-  std::atomic<double> stated_rate{std::numeric_limits<double>::infinity()};
   // Number of calls that the local backend server refused for load since the last limit window.
   std::atomic<std::uint32_t> backend_sheds{0};
 };
--- a/include/acaciasill/decide/gate.h
+++ b/include/acaciasill/decide/gate.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "acaciasill/decide/level.h"
+#include "acaciasill/decide/rate_limit.h"
 #include "acaciasill/decide/retry_advice.h"
 #include "acaciasill/support/random.h"
 #include "acaciasill/support/result_code.h"
@@ -87,6 +88,8 @@
   std::atomic<std::uint32_t> waiting{0};
   // Effective concurrency limit, written by the control thread.
   std::atomic<std::uint32_t> limit{1};
+  // Limit on the rate at which calls start, stated by the backend server.
+  rate_limiter rate;
   std::atomic<bool> draining{false};
   // True if the last adjustment found the upstream overloaded.
   std::atomic<bool> overloaded{false};
@@ -130,8 +133,9 @@
 admit_decision admit(gate& state, const gate_view& view, const request_facts& request,
                      support::time_point now, support::random_source& random);
 
-// Takes a slot if one is free; returns true if it did. Called by admit and next_from_queue.
-bool take_slot(gate& state, std::uint32_t organisation);
+// Takes a slot if one is free and the stated rate allows a call to start now; returns true if it
+// did. Called by admit and next_from_queue.
+bool take_slot(gate& state, std::uint32_t organisation, support::time_point now);
 
 // Releases the slot of a call that has completed. The service time is measured from the handover
 // to the backend server.
@@ -149,6 +153,10 @@
 // Returns the threshold that a reply to this call carries, in terms of path_level.
 level reply_threshold(const gate& state, const request_facts& request);
 
+// Returns the number of calls that run at once if the upstream is fully used: the concurrency
+// limit, or what the stated rate amounts to at the expected service time. At least 1.
+std::uint32_t usable_slots(const gate& state);
+
 // Returns the expected service time of a call of any kind.
 support::duration expected_service_time(const gate& state);
 
--- a/include/acaciasill/decide/routing.h
+++ b/include/acaciasill/decide/routing.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <vector>
 
+#include "acaciasill/decide/rate_limit.h"
 #include "acaciasill/support/random.h"
 #include "acaciasill/support/time.h"
 
@@ -34,6 +35,8 @@
   // Time of the last report in milliseconds, and this daemon's calls in flight at that time.
   std::atomic<std::uint32_t> reported_ms{0};
   std::atomic<std::uint32_t> own_at_report{0};
+  // Rate that the upstream's backend server last stated, in calls per second.
+  std::atomic<double> stated_rate{unlimited_rate};
   // Smoothed fraction of failures among replies, in units of 1/65536.
   std::atomic<std::uint32_t> failure_fraction{0};
   std::atomic<std::uint32_t> replies{0};
--- a/include/acaciasill/decide/wait_queue.h
+++ b/include/acaciasill/decide/wait_queue.h
@@ -76,13 +76,14 @@
                                     const request_facts& request, std::uint64_t handle,
                                     support::time_point now, std::vector<dropped_call>& dropped);
 
-// Takes a slot and returns the call to run next, or nullopt if no slot is free or no call waits.
-// Call it until it returns nullopt: after enqueue, after on_finish or on_cancel (with the
-// organisation whose slot was released), and after a change of the limit. Order: organisations
-// below their guaranteed slots, the one furthest below first; then the most important rank of all,
-// and within it the organisation with the fewest lent slots relative to its weight. Within one
-// organisation the most important level goes first; among calls of similar importance the newest
-// goes first under overload and the oldest otherwise.
+// Takes a slot and returns the call to run next, or nullopt if no slot is free, the stated rate
+// does not allow a call now, or no call waits. Call it until it returns nullopt: after enqueue,
+// after on_finish or on_cancel (with the organisation whose slot was released), after a change of a
+// limit, and at next_permit_time while calls wait. Order: organisations below their guaranteed
+// slots, the one furthest below first; then the most important rank of all, and within it the
+// organisation with the fewest lent slots relative to its weight. Within one organisation the most
+// important level goes first; among calls of similar importance the newest goes first under
+// overload and the oldest otherwise.
 std::optional<queued_call>
 next_from_queue(wait_queue& queue, gate& state, const gate_view& view, support::time_point now,
                 std::vector<dropped_call>& dropped,
--- a/include/acaciasill/wire/call.h
+++ b/include/acaciasill/wire/call.h
@@ -53,6 +53,9 @@
   std::uint64_t generation = 0;
   // Hash of the route's name; service times are recorded separately for each kind.
   std::uint32_t kind = 0;
+  // Rate limit of the destination's backend server as the sender knows it from replies, in calls
+  // per second; absent if it knows none.
+  std::optional<double> stated_rate;
 
   bool operator==(const call_request&) const = default;
 };
--- a/include/acaciasill/wire/frames_generated.h
+++ b/include/acaciasill/wire/frames_generated.h
@@ -227,7 +227,8 @@
     VT_TIME_LEFT_US = 32,
     VT_PROBE = 34,
     VT_GENERATION = 36,
-    VT_KIND = 38
+    VT_KIND = 38,
+    VT_STATED_RATE = 40
   };
   uint64_t correlation() const {
     return GetField<uint64_t>(VT_CORRELATION, 0);
@@ -283,6 +284,9 @@
   uint32_t kind() const {
     return GetField<uint32_t>(VT_KIND, 0);
   }
+  flatbuffers::Optional<double> stated_rate() const {
+    return GetOptional<double, double>(VT_STATED_RATE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
@@ -311,6 +315,7 @@
            VerifyField<uint8_t>(verifier, VT_PROBE, 1) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
            VerifyField<uint32_t>(verifier, VT_KIND, 4) &&
+           VerifyField<double>(verifier, VT_STATED_RATE, 8) &&
            verifier.EndTable();
   }
 };
@@ -373,6 +378,9 @@
   void add_kind(uint32_t kind) {
     fbb_.AddElement<uint32_t>(call_request::VT_KIND, kind, 0);
   }
+  void add_stated_rate(double stated_rate) {
+    fbb_.AddElement<double>(call_request::VT_STATED_RATE, stated_rate);
+  }
   explicit call_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -403,8 +411,10 @@
     uint64_t time_left_us = 0,
     bool probe = false,
     uint64_t generation = 0,
-    uint32_t kind = 0) {
+    uint32_t kind = 0,
+    flatbuffers::Optional<double> stated_rate = flatbuffers::nullopt) {
   call_requestBuilder builder_(_fbb);
+  if(stated_rate) { builder_.add_stated_rate(*stated_rate); }
   builder_.add_generation(generation);
   builder_.add_time_left_us(time_left_us);
   builder_.add_correlation(correlation);
@@ -445,7 +455,8 @@
     uint64_t time_left_us = 0,
     bool probe = false,
     uint64_t generation = 0,
-    uint32_t kind = 0) {
+    uint32_t kind = 0,
+    flatbuffers::Optional<double> stated_rate = flatbuffers::nullopt) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
@@ -472,7 +483,8 @@
       time_left_us,
       probe,
       generation,
-      kind);
+      kind,
+      stated_rate);
 }
 
 struct call_reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -494,7 +506,8 @@
     VT_QUEUED = 30,
     VT_LIMIT = 32,
     VT_SERVICE_TIME_US = 34,
-    VT_GENERATION = 36
+    VT_GENERATION = 36,
+    VT_STATED_RATE = 38
   };
   uint64_t correlation() const {
     return GetField<uint64_t>(VT_CORRELATION, 0);
@@ -547,6 +560,9 @@
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
   }
+  flatbuffers::Optional<double> stated_rate() const {
+    return GetOptional<double, double>(VT_STATED_RATE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
@@ -569,6 +585,7 @@
            VerifyField<uint32_t>(verifier, VT_LIMIT, 4) &&
            VerifyField<uint32_t>(verifier, VT_SERVICE_TIME_US, 4) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
+           VerifyField<double>(verifier, VT_STATED_RATE, 8) &&
            verifier.EndTable();
   }
 };
@@ -628,6 +645,9 @@
   void add_generation(uint64_t generation) {
     fbb_.AddElement<uint64_t>(call_reply::VT_GENERATION, generation, 0);
   }
+  void add_stated_rate(double stated_rate) {
+    fbb_.AddElement<double>(call_reply::VT_STATED_RATE, stated_rate);
+  }
   explicit call_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -657,8 +677,10 @@
     uint32_t queued = 0,
     uint32_t limit = 0,
     uint32_t service_time_us = 0,
-    uint64_t generation = 0) {
+    uint64_t generation = 0,
+    flatbuffers::Optional<double> stated_rate = flatbuffers::nullopt) {
   call_replyBuilder builder_(_fbb);
+  if(stated_rate) { builder_.add_stated_rate(*stated_rate); }
   builder_.add_generation(generation);
   builder_.add_correlation(correlation);
   builder_.add_service_time_us(service_time_us);
@@ -697,7 +719,8 @@
     uint32_t queued = 0,
     uint32_t limit = 0,
     uint32_t service_time_us = 0,
-    uint64_t generation = 0) {
+    uint64_t generation = 0,
+    flatbuffers::Optional<double> stated_rate = flatbuffers::nullopt) {
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<acaciasill::wire::fb::header_field>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return acaciasill::wire::fb::Createcall_reply(
@@ -718,7 +741,8 @@
       queued,
       limit,
       service_time_us,
-      generation);
+      generation,
+      stated_rate);
 }
 
 struct call_cancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 #include <asio/post.hpp>
@@ -193,6 +194,8 @@
     call->current.lent_attempts = lends_attempts ? decide::lend_attempts(call->budget) : 0;
     request.lent_attempts = call->current.lent_attempts;
     request.generation = board_.generations.in_force.load(std::memory_order_relaxed);
+    const auto rate = call->current.load->stated_rate.load(std::memory_order_relaxed);
+    request.stated_rate = std::isfinite(rate) ? std::optional(rate) : std::nullopt;
     decide::begin_attempt(*call->current.load);
     if (call->current.address == environment_.own_call_address) {
       send_to_self(call, std::move(request), now);
@@ -292,6 +295,9 @@
 
   void record_reply(entry_call& call, const wire::call_reply& reply, support::time_point now) {
     decide::record_reachability(*call.current.load, upstream_was_reached(reply), now);
+    if (reply.stated_rate) {
+      call.current.load->stated_rate.store(*reply.stated_rate, std::memory_order_relaxed);
+    }
     if (reply_was_lost(reply)) {
       decide::on_reply(*call.current.load, decide::lost_reply{}, now);
       return;
--- a/lib/daemon/process_metrics.cpp
+++ b/lib/daemon/process_metrics.cpp
@@ -49,7 +49,7 @@
               value_of(board.calls_started)),
       gauge("acaciasill_upstream_stated_rate",
             "calls per second that the local backend server states to take",
-            board.stated_rate.load()),
+            decide::rate_in_force(gate.rate)),
       gauge("acaciasill_calls_in_flight", "calls of callers and peers without an answer",
             value_of(board.calls_in_flight)),
   };
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -65,6 +65,10 @@
 
   std::uint64_t serve(request_thread& home, wire::call_request request, upstream_reply reply) {
     board::record_peer_generation(board_.generations, request.generation);
+    if (request.stated_rate && decide::record_relayed_rate(board_.gate.rate, *request.stated_rate,
+                                                           support::monotonic_now())) {
+      log_rate_change("caller");
+    }
     auto call = std::make_shared<running_call>();
     call->id = ++last_ids_[home.index];
     call->arrived = support::monotonic_now();
@@ -253,7 +257,10 @@
     auto& call = *found->second;
     environment_.observer.on_exchange(response.end != net::exchange_end::not_sent);
     auto reply = environment_.protocol->interpret_response(call.request, std::move(response));
-    record_stated_rate(reply);
+    if (reply.stated_rate && decide::record_stated_rate(board_.gate.rate, *reply.stated_rate,
+                                                        support::monotonic_now())) {
+      log_rate_change("answer");
+    }
     if (call.parent) {
       const auto summary =
           decide::close_parent(board_.parents, *call.parent, call.request.lent_attempts);
@@ -269,20 +276,14 @@
     finish(home, call, std::move(reply));
   }
 
-  void record_stated_rate(const wire::call_reply& reply) {
-    if (!reply.stated_rate) {
-      return;
-    }
-    const auto before = board_.stated_rate.exchange(*reply.stated_rate, std::memory_order_relaxed);
-    if (before == *reply.stated_rate) {
-      return;
-    }
+  // Logs a change of the rate limit in force.
+  void log_rate_change(std::string_view source) {
     std::uint32_t dropped = 0;
     if (rate_log_budget_.allow(support::monotonic_now(), dropped)) {
       support::write_event(
-          support::log_level::info, "upstream", "backend server states another rate limit",
-          {{"before", std::to_string(before)},
-           {"calls_per_s", std::to_string(*reply.stated_rate)},
+          support::log_level::info, "upstream", "rate limit of the backend server changes",
+          {{"calls_per_s", std::to_string(decide::rate_in_force(board_.gate.rate))},
+           {"source", std::string(source)},
            {"calls_started", std::to_string(board_.calls_started.load(std::memory_order_relaxed))},
            {"lines_dropped_before", std::to_string(dropped)}});
     }
@@ -349,7 +350,7 @@
     reply.threshold = std::min(reply.threshold, decide::reply_threshold(board_.gate, call.facts));
     reply.in_flight = board_.gate.in_flight.load(std::memory_order_relaxed);
     reply.queued = board_.gate.waiting.load(std::memory_order_relaxed);
-    reply.limit = board_.gate.limit.load(std::memory_order_relaxed);
+    reply.limit = decide::usable_slots(board_.gate);
     reply.service_time_us =
         static_cast<std::uint32_t>(std::chrono::duration_cast<support::microseconds>(
                                        decide::expected_service_time(board_.gate, call.facts.kind))
@@ -464,6 +465,7 @@
 }
 
 void upstream_calls::backend_announced(bool cold) {
+  decide::reset_rate(implementation_->board_.gate.rate);
   implementation_->queue_.backend_announced(cold);
 }
 
--- a/lib/daemon/upstream_queue.cpp
+++ b/lib/daemon/upstream_queue.cpp
@@ -30,7 +30,7 @@
     : board_(board), owner_(owner), callbacks_(std::move(callbacks)),
       queue_(board::organisation_capacity, decide::max_queue_capacity),
       controller_(board::organisation_capacity), drop_timer_(owner.context),
-      control_timer_(owner.context) {}
+      permit_timer_(owner.context), control_timer_(owner.context) {}
 
 void upstream_queue::start() {
   last_limit_sample_ = support::monotonic_now();
@@ -113,6 +113,25 @@
   }
   report_dropped();
   arm_drop_timer();
+  arm_permit_timer();
+}
+
+void upstream_queue::arm_permit_timer() {
+  if (permit_timer_armed_ || decide::size(queue_) == 0) {
+    return;
+  }
+  const auto moment = decide::next_permit_time(board_.gate.rate, support::monotonic_now());
+  if (!moment) {
+    return;
+  }
+  permit_timer_armed_ = true;
+  permit_timer_.expires_after(support::time_until(*moment));
+  permit_timer_.async_wait([this](asio::error_code error) {
+    permit_timer_armed_ = false;
+    if (!error) {
+      run_next(std::nullopt);
+    }
+  });
 }
 
 void upstream_queue::report_dropped() {
--- a/lib/daemon/upstream_queue.h
+++ b/lib/daemon/upstream_queue.h
@@ -72,6 +72,7 @@
   void run_next(std::optional<std::uint32_t> finished_organisation);
   void report_dropped();
   void arm_drop_timer();
+  void arm_permit_timer();
   void arm_control_timer();
   void control();
   void control_limit(support::time_point now);
@@ -86,6 +87,9 @@
   decide::limit_state limit_state_;
   support::time_point last_limit_sample_;
   asio::steady_timer drop_timer_;
+  // Expires when the rate limit allows the next call to start; armed while calls wait for that.
+  asio::steady_timer permit_timer_;
+  bool permit_timer_armed_ = false;
   asio::steady_timer control_timer_;
 };
 
--- a/lib/decide/gate.cpp
+++ b/lib/decide/gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace acaciasill::decide {
 
@@ -13,6 +14,7 @@
 constexpr std::uint32_t service_time_decay_divisor = 16;
 // Weight of a new service time in the smoothed value: 1 / 2^3.
 constexpr unsigned service_time_shift = 3;
+constexpr double microseconds_per_second = 1e6;
 
 void store_max(std::atomic<std::uint32_t>& maximum, std::uint32_t value) {
   auto before = maximum.load(relaxed);
@@ -39,10 +41,17 @@
 gate::gate(std::uint32_t organisation_count, std::uint32_t initial_limit)
     : limit(initial_limit), organisations(organisation_count) {}
 
-bool take_slot(gate& state, std::uint32_t organisation) {
+bool take_slot(gate& state, std::uint32_t organisation, support::time_point now) {
+  if (next_permit_time(state.rate, now)) {
+    return false;
+  }
   auto used = state.in_flight.load(relaxed);
   while (used < state.limit.load(relaxed)) {
     if (state.in_flight.compare_exchange_weak(used, used + 1, std::memory_order_acq_rel)) {
+      if (!take_permit(state.rate, now)) {
+        state.in_flight.fetch_sub(1, std::memory_order_acq_rel);
+        return false;
+      }
       state.organisations[organisation].in_flight.fetch_add(1, relaxed);
       state.started.fetch_add(1, relaxed);
       store_max(state.peak_in_flight, used + 1);
@@ -81,7 +90,7 @@
     return refuse(state, view, request, result_code::shed_at_upstream, random);
   }
   record_admitted(counters.excess);
-  if (state.waiting.load(relaxed) == 0 && take_slot(state, request.organisation)) {
+  if (state.waiting.load(relaxed) == 0 && take_slot(state, request.organisation, now)) {
     return {admission::run, result_code::ok, 0, reply_threshold(state, request)};
   }
   return {admission::wait, result_code::ok, 0, reply_threshold(state, request)};
@@ -109,7 +118,7 @@
   record_refused(counters.excess);
   if (code == support::result_code::shed_at_upstream) {
     const double share = view.organisations[request.organisation].guaranteed;
-    const auto guaranteed = share * static_cast<double>(state.limit.load(relaxed));
+    const auto guaranteed = share * static_cast<double>(usable_slots(state));
     // An organisation that exceeds its guaranteed share gets share_exceeded, since the cause is not
     // a full server.
     if (share > 0.0 && static_cast<double>(counters.in_flight.load(relaxed)) > guaranteed) {
@@ -125,6 +134,16 @@
   return path_threshold(own, request.holds_finished_work);
 }
 
+std::uint32_t usable_slots(const gate& state) {
+  const auto limit = state.limit.load(relaxed);
+  const double service_s = state.service_time_us.load(relaxed) / microseconds_per_second;
+  const double running = std::ceil(rate_in_force(state.rate) * service_s);
+  if (service_s <= 0.0 || running >= static_cast<double>(limit)) {
+    return limit;
+  }
+  return std::max(1U, static_cast<std::uint32_t>(running));
+}
+
 support::duration expected_service_time(const gate& state) {
   return support::microseconds(state.service_time_us.load(relaxed));
 }
--- a/lib/decide/wait_queue.cpp
+++ b/lib/decide/wait_queue.cpp
@@ -23,7 +23,7 @@
                              const gate_view& view, std::uint32_t organisation,
                              support::time_point now) {
   const double share = view.organisations[organisation].guaranteed;
-  const double slots = share * static_cast<double>(state.limit.load(relaxed));
+  const double slots = share * static_cast<double>(usable_slots(state));
   const auto used = static_cast<double>(state.organisations[organisation].in_flight.load(relaxed));
   if (used >= slots) {
     return above_guarantee_key;
@@ -41,7 +41,7 @@
 std::uint64_t lent_key(const gate& state, const gate_view& view, std::uint32_t organisation,
                        level best) {
   const auto& share = view.organisations[organisation];
-  const double slots = share.guaranteed * static_cast<double>(state.limit.load(relaxed));
+  const double slots = share.guaranteed * static_cast<double>(usable_slots(state));
   const auto used = static_cast<double>(state.organisations[organisation].in_flight.load(relaxed));
   const double lent = std::max(0.0, used - slots) / share.weight;
   const auto scaled = static_cast<std::uint64_t>(std::min(lent * 1024.0, 0x1.0p28));
@@ -195,7 +195,7 @@
 void record_next_guaranteed(wait_queue_state& queue, const gate& state, const gate_view& view,
                             std::uint32_t organisation, support::time_point now) {
   const double slots =
-      view.organisations[organisation].guaranteed * static_cast<double>(state.limit.load(relaxed));
+      view.organisations[organisation].guaranteed * static_cast<double>(usable_slots(state));
   if (slots <= 0.0 || slots >= 1.0) {
     return;
   }
@@ -265,7 +265,7 @@
     return std::nullopt;
   }
   const auto organisation = choose_organisation(inner, state, view, now);
-  if (!take_slot(state, organisation)) {
+  if (!take_slot(state, organisation, now)) {
     return std::nullopt;
   }
   record_next_guaranteed(inner, state, view, organisation, now);
--- a/lib/wire/codec.cpp
+++ b/lib/wire/codec.cpp
@@ -87,6 +87,14 @@
   return {reinterpret_cast<const char*>(bytes->data()), bytes->size()};
 }
 
+flatbuffers::Optional<double> to_flatbuffers(std::optional<double> value) {
+  return value ? flatbuffers::Optional<double>(*value) : flatbuffers::nullopt;
+}
+
+std::optional<double> from_flatbuffers(flatbuffers::Optional<double> value) {
+  return value ? std::optional(*value) : std::nullopt;
+}
+
 request_id decode_id(const fb::request_id& id) {
   return {.high = id.high(), .low = id.low()};
 }
@@ -180,6 +188,7 @@
   request.probe = table.probe();
   request.generation = table.generation();
   request.kind = table.kind();
+  request.stated_rate = from_flatbuffers(table.stated_rate());
   return request;
 }
 
@@ -214,6 +223,7 @@
   reply.limit = table.limit();
   reply.service_time_us = table.service_time_us();
   reply.generation = table.generation();
+  reply.stated_rate = from_flatbuffers(table.stated_rate());
   return reply;
 }
 
@@ -324,7 +334,8 @@
   const auto message = fb::Createcall_request(
       builder, request.correlation, &id, service, organisation, method, target, headers, body, key,
       request.rank, request.holds_finished_work, request.idempotent, request.lent_attempts,
-      request.depth, request.time_left_us, request.probe, request.generation, request.kind);
+      request.depth, request.time_left_us, request.probe, request.generation, request.kind,
+      to_flatbuffers(request.stated_rate));
   append_finished_frame(builder, buffer, fb::message::call_request, message);
 }
 
@@ -338,7 +349,7 @@
       static_cast<std::uint16_t>(reply.code), reply.http_status, headers, body,
       reply.unused_attempts, reply.spent_attempts, reply.threshold, reply.overloaded_below,
       reply.retry_after_ms, reply.in_flight, reply.queued, reply.limit, reply.service_time_us,
-      reply.generation);
+      reply.generation, to_flatbuffers(reply.stated_rate));
   append_finished_frame(builder, buffer, fb::message::call_reply, message);
 }
 
--- a/unittests/decide/gate_test.cpp
+++ b/unittests/decide/gate_test.cpp
@@ -132,9 +132,9 @@
   constexpr std::uint32_t reservation = 1;
   constexpr std::uint32_t status_read = 2;
   for (int call = 0; call < 20; ++call) {
-    REQUIRE(take_slot(counters, 0));
+    REQUIRE(take_slot(counters, 0, {}));
     on_finish(counters, 0, milliseconds(1000), reservation);
-    REQUIRE(take_slot(counters, 0));
+    REQUIRE(take_slot(counters, 0, {}));
     on_finish(counters, 0, milliseconds(100), status_read);
   }
   request.deadline = support::time_point(milliseconds(400));
--- a/unittests/decide/overload_simulation.cpp
+++ b/unittests/decide/overload_simulation.cpp
@@ -33,6 +33,7 @@
 
 void begin(loop& sim, std::uint32_t index, simulated_request& request) {
   auto& node = *sim.nodes[index];
+  bin(sim).starts_of_first += index == 1 ? 1 : 0;
   const double slow = index > 0 && in_overload(sim) ? sim.settings.deep_slowdown : 1.0;
   const double deep_us = sim.settings.deep_work_us / sim.settings.deep_calls;
   const double mean =
@@ -65,7 +66,7 @@
   }
   if (sim.settings.passthrough) {
     node.counters.limit = 1000000;
-    take_slot(node.counters, request.facts.organisation);
+    take_slot(node.counters, request.facts.organisation, sim.now);
     begin(sim, index, request);
     return;
   }
@@ -123,7 +124,7 @@
 }
 
 load_report report_of(const simulated_node& node) {
-  return {node.counters.in_flight, node.counters.waiting, node.counters.limit,
+  return {node.counters.in_flight, node.counters.waiting, usable_slots(node.counters),
           node.counters.service_time_us};
 }
 
@@ -162,6 +163,10 @@
     return;
   }
   auto& node = *sim.nodes[index];
+  if (index == 1) {
+    record_stated_rate(node.counters.rate,
+                       in_overload(sim) ? sim.settings.stated_rate : unlimited_rate, sim.now);
+  }
   on_finish(node.counters, request.facts.organisation, sim.now - request.started);
   const auto threshold = reply_threshold(node.counters, request.facts);
   at(sim, sim.now + hop_latency,
@@ -252,6 +257,21 @@
   at(sim, sim.now + limit_window, [&sim] { control_limits(sim); });
 }
 
+// Lets a waiting call start when the stated rate allows it.
+void arm_permit_timer(loop& sim, std::uint32_t index) {
+  auto& node = *sim.nodes[index];
+  if (node.permit_timer_armed || size(node.queue) == 0) {
+    return;
+  }
+  if (const auto due = next_permit_time(node.counters.rate, sim.now)) {
+    node.permit_timer_armed = true;
+    at(sim, *due, [&sim, &node, index] {
+      node.permit_timer_armed = false;
+      run_queue(sim, index, std::nullopt);
+    });
+  }
+}
+
 } // namespace
 
 double capacity_per_s(const simulation_settings& settings) {
@@ -294,6 +314,7 @@
       if (const auto due = next_drop_time(sim.nodes[index]->queue); due && *due <= sim.now) {
         run_queue(sim, index, std::nullopt);
       }
+      arm_permit_timer(sim, index);
     }
   }
 }
@@ -359,6 +380,14 @@
       sum.success[organisation] += one.offered_of_organisation[organisation];
     }
   }
+  // Windows begin once the first answers have stated the rate.
+  for (std::size_t first = 31; first + 40 <= 80; ++first) {
+    double starts = 0;
+    for (std::size_t index = first; index < first + 40; ++index) {
+      starts += sim.results[index].starts_of_first;
+    }
+    sum.max_starts_in_4s = std::max(sum.max_starts_in_4s, starts);
+  }
   sum.deviation = std::sqrt(square / 40.0);
   sum.wasted /= std::max(1.0, useful);
   sum.amplification /= std::max(1.0, useful);
--- a/unittests/decide/overload_simulation.h
+++ b/unittests/decide/overload_simulation.h
@@ -39,6 +39,8 @@
   std::uint32_t configured_slots = 30;
   duration request_deadline = milliseconds(500);
   std::array<double, 3> speeds{1.0, 1.0, 1.0}; // Relative speeds of the deep upstreams.
+  // Rate that the first deep upstream states during the overload, in calls per second.
+  double stated_rate = unlimited_rate;
   std::uint32_t local_upstreams = 3; // The first ones; the others are in other data centres.
   double spill_cap = 1.0;
   std::uint64_t seed = 1;
@@ -82,6 +84,7 @@
   threshold_controller controller;
   limit_state limit;
   std::vector<time_point> slot_free;
+  bool permit_timer_armed = false;
 };
 
 // Counts of one time bin.
@@ -96,6 +99,7 @@
       0; // Calls that the front ran although the deep service refused them or finished too late.
   double deep_attempts = 0;
   double entry_attempts = 0;
+  double starts_of_first = 0; // Calls started at the first deep upstream.
 };
 
 // State of the simulation.
@@ -145,6 +149,8 @@
   std::array<double, organisation_count>
       organisations{};                              // Fractions of the goodput in the overload.
   std::array<double, organisation_count> success{}; // Useful requests per offered one.
+  double max_starts_in_4s = 0; // Calls started at the first deep upstream in the worst 4 s of the
+                               // overload.
 };
 simulation_summary summarise(const loop& sim);
 
--- a/unittests/wire/codec_test.cpp
+++ b/unittests/wire/codec_test.cpp
@@ -1,5 +1,7 @@
 #include "acaciasill/wire/codec.h"
 
+#include <limits>
+
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
@@ -30,6 +32,7 @@
   request.probe = true;
   request.generation = 9;
   request.kind = 10;
+  request.stated_rate = 65.3;
   return request;
 }
 
@@ -52,6 +55,7 @@
   reply.limit = 7;
   reply.service_time_us = 8;
   reply.generation = 9;
+  reply.stated_rate = std::numeric_limits<double>::infinity();
   return reply;
 }
 
