Keep what is known of an instance while its daemon restarts

Callers: a server that had stated a limit of 10 calls a second got 61 in 1.3 s from machines that it had told (24 allowed) once the daemon beside it had been stopped and started.

Cause: the row of a stopping daemon leaves the directory, and with it each sender dropped the load of that instance, the stated rate included. The new process and its senders then knew no limit. Ruled out: a restart without a stop, whose row stays (3 calls, 13 allowed).

A load is now kept for 60 s after its instance was last listed; it is found by the instance, so that another one at the same address starts anew.

--- a/include/acaciasill/daemon/publishers.h
+++ b/include/acaciasill/daemon/publishers.h
@@ -11,6 +11,7 @@
 #include "acaciasill/control/node.h"
 #include "acaciasill/decide/routing.h"
 #include "acaciasill/model/configuration.h"
+#include "acaciasill/support/time.h"
 
 namespace acaciasill::board {
 struct call_board;
@@ -31,16 +32,26 @@
 // of the configuration or of the backend server.
 void publish_admission(board::call_board& board);
 
+// Time for which the load of an instance is kept while no member lists it. A daemon that restarts is
+// not listed for some seconds, while its server runs on.
+inline constexpr support::seconds unlisted_load_lifetime{60};
+
+// Load of a known instance, and the last time at which a member listed it.
+struct known_load {
+  std::shared_ptr<decide::upstream_load> load;
+  support::time_point listed;
+};
+
 // Routing state kept across views: the load of each known instance.
 struct routing_publisher {
   std::string own_name;
   std::string own_data_centre;
-  std::unordered_map<std::uint64_t, std::shared_ptr<decide::upstream_load>> loads;
+  std::unordered_map<std::uint64_t, known_load> loads;
 };
 
 // Publishes routes to the given members, using the configuration's subset sizes and caps.
 void publish_routing(board::call_board& board, routing_publisher& publisher,
-                     const control::cluster_view& view);
+                     const control::cluster_view& view, support::time_point now);
 
 } // namespace acaciasill::daemon
 
--- a/lib/daemon/control_loop.cpp
+++ b/lib/daemon/control_loop.cpp
@@ -75,7 +75,7 @@
   view_ = action.view;
   board_.leaving.store(view_.leaving, std::memory_order_release);
   board_.gate.draining.store(view_.leaving, std::memory_order_release);
-  publish_routing(board_, routing_, view_);
+  publish_routing(board_, routing_, view_, support::monotonic_now());
 }
 
 void control_loop::perform(const control::publish_configuration& action) {
@@ -95,7 +95,7 @@
   }
   support::write_log(support::log_level::info, "configuration",
                      "generation " + std::to_string(action.generation) + " is in force");
-  publish_routing(board_, routing_, view_);
+  publish_routing(board_, routing_, view_, support::monotonic_now());
   handle(graph);
 }
 
--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -229,7 +229,8 @@
     apply_recovered_row();
     publish_routing(
         board_, routing_,
-        control::make_cluster_view(tables_->members().entries(), tables_->members().version()));
+        control::make_cluster_view(tables_->members().entries(), tables_->members().version()),
+        support::monotonic_now());
   }
 
   // Publishes the backend server's state to the call board and to the directory.
--- a/lib/daemon/publishers.cpp
+++ b/lib/daemon/publishers.cpp
@@ -29,10 +29,9 @@
 };
 
 using members_by_slot = std::map<std::uint32_t, service_members>;
-using load_table = std::unordered_map<std::uint64_t, std::shared_ptr<decide::upstream_load>>;
 
 members_by_slot group_members(board::call_board& board, const control::cluster_view& view,
-                              const load_table& previous, load_table& current) {
+                              routing_publisher& publisher, support::time_point now) {
   members_by_slot groups;
   for (const auto& member : view.members) {
     if (member.service.empty()) {
@@ -43,10 +42,12 @@
     upstream.data_centre = data_centre_number(member.data_centre);
     upstream.slots = std::max<std::uint32_t>(1, member.slots);
     upstream.draining = member.draining;
-    const auto known = previous.find(upstream.id);
-    upstream.load =
-        known != previous.end() ? known->second : std::make_shared<decide::upstream_load>();
-    current.emplace(upstream.id, upstream.load);
+    auto& known = publisher.loads[upstream.id];
+    if (!known.load) {
+      known.load = std::make_shared<decide::upstream_load>();
+    }
+    known.listed = now;
+    upstream.load = known.load;
     auto& group = groups[board.services.slot_of(member.service)];
     group.upstreams.push_back(std::move(upstream));
     group.addresses.push_back(member.call_address);
@@ -137,9 +138,11 @@
 }
 
 void publish_routing(board::call_board& board, routing_publisher& publisher,
-                     const control::cluster_view& view) {
-  load_table loads;
-  const auto groups = group_members(board, view, publisher.loads, loads);
+                     const control::cluster_view& view, support::time_point now) {
+  const auto groups = group_members(board, view, publisher, now);
+  std::erase_if(publisher.loads, [now](const auto& known) {
+    return now - known.second.listed >= unlisted_load_lifetime;
+  });
   std::map<std::uint32_t, model::limits> limits;
   {
     const board::rcu_read_guard guard;
@@ -156,7 +159,6 @@
     routing->services[slot] = make_routes(members, self, own_data_centre, limits[slot]);
   }
   board.routing.publish(std::move(routing));
-  publisher.loads = std::move(loads);
 }
 
 } // namespace acaciasill::daemon
--- a/unittests/platform/cluster_fixture.h
+++ b/unittests/platform/cluster_fixture.h
@@ -45,6 +45,11 @@
     });
   }
 
+  // Begins a planned stop, as on SIGTERM.
+  void stop() {
+    asio::post(context_, [this] { process_.stop(); });
+  }
+
   ~running_node() {
     context_.stop();
     thread_.join();
@@ -87,6 +92,8 @@
     nodes.push_back(std::make_unique<running_node>(settings("127.0.0.3", "nox78a", back.port())));
   }
 
+  void stop_back_daemon() { nodes[1]->stop(); }
+
   // Replaces the daemon beside the second service's server by a new process, which knows nothing.
   void restart_back_daemon() {
     nodes[1].reset();
