--- a/include/acaciasill/daemon/publishers.h
+++ b/include/acaciasill/daemon/publishers.h
@@ -32,8 +32,8 @@
 // of the configuration or of the backend server.
 void publish_admission(board::call_board& board);
 
-// Time for which the load of an instance is kept while no member lists it. A daemon that restarts is
-// not listed for some seconds, while its server runs on.
+// Time for which the load of an instance is kept while no member lists it. A daemon that restarts
+// is not listed for some seconds, while its server runs on.
 inline constexpr support::seconds unlisted_load_lifetime{60};
 
 // Load of a known instance, and the last time at which a member listed it.
