Send nothing more to a server that states that it leaves

Cause: as for the rate limit, no daemon read what servers state in their answers. Ruled out: the ordering of reports, which already keeps a leaving instance out.

The daemon beside the server takes the statement as a departure of the instance that made it (by id and start, so that an answer of an earlier run cannot end a later one), refuses queued calls at once and writes its row. Each sender notes it with the instance and sends it nothing more, also where the daemon beside it has restarted or cannot be reached by the directory. A health check whose answer states it does not count as serving.

--- a/include/acaciasill/board/views.h
+++ b/include/acaciasill/board/views.h
@@ -51,6 +51,8 @@
   std::string instance;
   std::uint32_t slots = 0;
   std::uint32_t connections = 0;
+  // Start of the instance in Unix milliseconds by its own clock; 0 if it is not known.
+  std::uint64_t instance_start_ms = 0;
 
   bool operator==(const backend_target&) const = default;
 };
--- a/include/acaciasill/daemon/upstream_calls.h
+++ b/include/acaciasill/daemon/upstream_calls.h
@@ -27,6 +27,9 @@
 struct backend_observer {
   // Called when a request to the server ends; reached is false if it could not be sent.
   std::function<void(bool reached)> on_exchange = [](bool) {};
+  // Called when an instance states in an answer that it is leaving.
+  std::function<void(const std::string& instance, std::uint64_t start_ms)> on_leaving =
+      [](const std::string&, std::uint64_t) {};
 };
 
 using upstream_reply = std::function<void(wire::call_reply)>;
--- a/include/acaciasill/decide/routing.h
+++ b/include/acaciasill/decide/routing.h
@@ -37,6 +37,8 @@
   std::atomic<std::uint32_t> own_at_report{0};
   // Rate that the upstream's backend server last stated, in calls per second.
   std::atomic<double> stated_rate{unlimited_rate};
+  // True once the upstream's backend server has stated that it is leaving; it never serves again.
+  std::atomic<bool> leaving{false};
   // Smoothed fraction of failures among replies, in units of 1/65536.
   std::atomic<std::uint32_t> failure_fraction{0};
   std::atomic<std::uint32_t> replies{0};
--- a/include/acaciasill/wire/call.h
+++ b/include/acaciasill/wire/call.h
@@ -100,6 +100,8 @@
   // Calls per second that the backend server states to take from all daemons together, infinity if
   // its answer states no limit; absent if the reply is not based on such an answer.
   std::optional<double> stated_rate;
+  // Whether the backend server states in its answer that it is leaving.
+  bool backend_leaving = false;
 
   bool operator==(const call_reply&) const = default;
 };
--- a/include/acaciasill/wire/frames_generated.h
+++ b/include/acaciasill/wire/frames_generated.h
@@ -507,7 +507,8 @@
     VT_LIMIT = 32,
     VT_SERVICE_TIME_US = 34,
     VT_GENERATION = 36,
-    VT_STATED_RATE = 38
+    VT_STATED_RATE = 38,
+    VT_BACKEND_LEAVING = 40
   };
   uint64_t correlation() const {
     return GetField<uint64_t>(VT_CORRELATION, 0);
@@ -563,6 +564,9 @@
   flatbuffers::Optional<double> stated_rate() const {
     return GetOptional<double, double>(VT_STATED_RATE);
   }
+  bool backend_leaving() const {
+    return GetField<uint8_t>(VT_BACKEND_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
@@ -586,6 +590,7 @@
            VerifyField<uint32_t>(verifier, VT_SERVICE_TIME_US, 4) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
            VerifyField<double>(verifier, VT_STATED_RATE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_BACKEND_LEAVING, 1) &&
            verifier.EndTable();
   }
 };
@@ -648,6 +653,9 @@
   void add_stated_rate(double stated_rate) {
     fbb_.AddElement<double>(call_reply::VT_STATED_RATE, stated_rate);
   }
+  void add_backend_leaving(bool backend_leaving) {
+    fbb_.AddElement<uint8_t>(call_reply::VT_BACKEND_LEAVING, static_cast<uint8_t>(backend_leaving), 0);
+  }
   explicit call_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -678,7 +686,8 @@
     uint32_t limit = 0,
     uint32_t service_time_us = 0,
     uint64_t generation = 0,
-    flatbuffers::Optional<double> stated_rate = flatbuffers::nullopt) {
+    flatbuffers::Optional<double> stated_rate = flatbuffers::nullopt,
+    bool backend_leaving = false) {
   call_replyBuilder builder_(_fbb);
   if(stated_rate) { builder_.add_stated_rate(*stated_rate); }
   builder_.add_generation(generation);
@@ -696,6 +705,7 @@
   builder_.add_id(id);
   builder_.add_http_status(http_status);
   builder_.add_code(code);
+  builder_.add_backend_leaving(backend_leaving);
   builder_.add_overloaded_below(overloaded_below);
   builder_.add_outcome(outcome);
   return builder_.Finish();
@@ -720,7 +730,8 @@
     uint32_t limit = 0,
     uint32_t service_time_us = 0,
     uint64_t generation = 0,
-    flatbuffers::Optional<double> stated_rate = flatbuffers::nullopt) {
+    flatbuffers::Optional<double> stated_rate = flatbuffers::nullopt,
+    bool backend_leaving = false) {
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<acaciasill::wire::fb::header_field>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return acaciasill::wire::fb::Createcall_reply(
@@ -742,7 +753,8 @@
       limit,
       service_time_us,
       generation,
-      stated_rate);
+      stated_rate,
+      backend_leaving);
 }
 
 struct call_cancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -58,7 +58,10 @@
     if (auto status = plane_.open(); !status.ok()) {
       return status;
     }
-    plane_.make_call_path(nullptr, {[this](bool reached) { on_exchange(reached); }});
+    plane_.make_call_path(nullptr, {[this](bool reached) { on_exchange(reached); },
+                                    [this](const std::string& instance, std::uint64_t start_ms) {
+                                      on_stated_leaving(instance, start_ms);
+                                    }});
     const auto callers = net::parse_peer_address(settings_.callers_listen);
     if (!callers.ok()) {
       return callers.status();
@@ -243,7 +246,8 @@
                 adapter_.backend_address,
                 backend_state_.report.instance,
                 backend_state_.report.slots,
-                0};
+                0,
+                backend_state_.report.start_ms};
     }
     if (!backend_published_ || target != published_backend_) {
       backend_published_ = true;
@@ -309,6 +313,17 @@
     }
   }
 
+  // Thread-safe.
+  void on_stated_leaving(const std::string& instance, std::uint64_t start_ms) {
+    asio::post(context_, [this, instance, start_ms] {
+      if (control::apply_departure(backend_state_, instance, start_ms)) {
+        write_event(log_level::info, "backend", "backend server states that it is leaving",
+                    {{"instance", instance}, {"start_ms", std::to_string(start_ms)}});
+        publish_backend();
+      }
+    });
+  }
+
   // Thread-safe.
   void on_exchange(bool reached) {
     if (reached && !last_exchange_failed_.load(std::memory_order_relaxed)) {
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -298,6 +298,9 @@
     if (reply.stated_rate) {
       call.current.load->stated_rate.store(*reply.stated_rate, std::memory_order_relaxed);
     }
+    if (reply.backend_leaving) {
+      call.current.load->leaving.store(true, std::memory_order_relaxed);
+    }
     if (reply_was_lost(reply)) {
       decide::on_reply(*call.current.load, decide::lost_reply{}, now);
       return;
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -42,6 +42,9 @@
   // Claim under which the call runs.
   std::optional<std::uint64_t> claim;
   std::uint64_t exchange = 0;
+  // Instance of the backend server that the call was sent to.
+  std::string instance;
+  std::uint64_t instance_start_ms = 0;
   std::optional<decide::parent_ref> parent;
 };
 
@@ -243,11 +246,14 @@
                                        });
   }
 
-  net::client_request make_exchange(request_thread& home, const running_call& call) {
+  net::client_request make_exchange(request_thread& home, running_call& call) {
     const board::rcu_read_guard guard;
-    return environment_.protocol->make_backend_request(board_.configuration.read(guard),
-                                                       board_.backend.read(guard), call.request,
-                                                       home, call.facts.deadline, call.started);
+    const auto& target = board_.backend.read(guard);
+    call.instance = target.instance;
+    call.instance_start_ms = target.instance_start_ms;
+    return environment_.protocol->make_backend_request(board_.configuration.read(guard), target,
+                                                       call.request, home, call.facts.deadline,
+                                                       call.started);
   }
 
   void on_response(request_thread& home, std::uint64_t id, net::client_response response) {
@@ -261,6 +267,9 @@
                                                         support::monotonic_now())) {
       log_rate_change("answer");
     }
+    if (reply.backend_leaving && !call.instance.empty()) {
+      environment_.observer.on_leaving(call.instance, call.instance_start_ms);
+    }
     if (call.parent) {
       const auto summary =
           decide::close_parent(board_.parents, *call.parent, call.request.lent_attempts);
--- a/lib/decide/routing.cpp
+++ b/lib/decide/routing.cpp
@@ -72,7 +72,8 @@
 
 bool may_use(const route_view& view, std::uint32_t index, const eligibility& rule) {
   const auto& candidate = view.upstreams[index];
-  if (candidate.draining || (index < mask_bits && ((rule.ejected >> index) & 1U) != 0)) {
+  if (candidate.draining || candidate.load->leaving.load(relaxed) ||
+      (index < mask_bits && ((rule.ejected >> index) & 1U) != 0)) {
     return false;
   }
   if (!rule.allow_unreachable && is_unreachable(*candidate.load, rule.now)) {
--- a/lib/wire/codec.cpp
+++ b/lib/wire/codec.cpp
@@ -224,6 +224,7 @@
   reply.service_time_us = table.service_time_us();
   reply.generation = table.generation();
   reply.stated_rate = from_flatbuffers(table.stated_rate());
+  reply.backend_leaving = table.backend_leaving();
   return reply;
 }
 
@@ -349,7 +350,7 @@
       static_cast<std::uint16_t>(reply.code), reply.http_status, headers, body,
       reply.unused_attempts, reply.spent_attempts, reply.threshold, reply.overloaded_below,
       reply.retry_after_ms, reply.in_flight, reply.queued, reply.limit, reply.service_time_us,
-      reply.generation, to_flatbuffers(reply.stated_rate));
+      reply.generation, to_flatbuffers(reply.stated_rate), reply.backend_leaving);
   append_finished_frame(builder, buffer, fb::message::call_reply, message);
 }
 
--- a/unittests/decide/routing_test.cpp
+++ b/unittests/decide/routing_test.cpp
@@ -125,6 +125,15 @@
   }
 }
 
+TEST_CASE_METHOD(routing_fixture, "an upstream whose server states that it leaves is skipped") {
+  for (std::size_t index = 0; index < 5; ++index) {
+    load(index).leaving = true;
+  }
+  CHECK(choose_many(100) == std::map<std::uint32_t, int>{{5, 100}});
+  load(5).leaving = true;
+  CHECK_FALSE(choose_upstream(view, spill, {}, now, random).has_value());
+}
+
 TEST_CASE_METHOD(routing_fixture, "tried and draining upstreams are skipped") {
   view.upstreams[0].draining = true;
   CHECK(choose_many(50, {2}).size() == 1);
--- a/unittests/platform/edge_test.cpp
+++ b/unittests/platform/edge_test.cpp
@@ -90,6 +90,16 @@
   CHECK_FALSE(protocol.interpret_response(call, {exchange_end::broken, 0, {}, ""}).stated_rate);
 }
 
+TEST_CASE("a backend server states in its own answers only that it is leaving") {
+  CHECK(interpret(200, {{"Server-Stamp", "s"}, {"Server-Leaving", "1"}}).backend_leaving);
+  CHECK(interpret(503, {{"Not-Run", "1"}, {"Server-Leaving", "1"}}).backend_leaving);
+  CHECK_FALSE(interpret(200, {{"Server-Stamp", "s"}, {"Server-Leaving", "0"}}).backend_leaving);
+  CHECK_FALSE(interpret(200, {{"Server-Stamp", "s"}}).backend_leaving);
+  // Answers of another instance, or of no known one.
+  CHECK_FALSE(interpret(421, {{"Server-Leaving", "1"}}).backend_leaving);
+  CHECK_FALSE(interpret(200, {{"Server-Leaving", "1"}}).backend_leaving);
+}
+
 TEST_CASE("status 503 is used only for the outcome not_run") {
   wire::call_reply reply;
   reply.outcome = outcome::not_run;
--- a/unittests/platform/node_api_test.cpp
+++ b/unittests/platform/node_api_test.cpp
@@ -44,6 +44,9 @@
   const auto serving = parse_probe(response);
   REQUIRE(serving);
   CHECK(*serving == daemon::backend_probe{"i-1", true, 36});
+  response.headers.push_back({"Server-Leaving", "1"});
+  CHECK_FALSE(parse_probe(response)->serving);
+  response.headers.pop_back();
   response.status = 503;
   CHECK_FALSE(parse_probe(response)->serving);
   response.headers.clear();
--- a/unittests/wire/codec_test.cpp
+++ b/unittests/wire/codec_test.cpp
@@ -56,6 +56,7 @@
   reply.service_time_us = 8;
   reply.generation = 9;
   reply.stated_rate = std::numeric_limits<double>::infinity();
+  reply.backend_leaving = true;
   return reply;
 }
 
