Log which requests have the same content

The lines of part upstream now carry a hash of service, method, target and body as content. Nothing is decided by it yet.

--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -7,6 +7,8 @@
 
 #include <asio/post.hpp>
 
+#include "absl/strings/str_cat.h"
+
 #include "upstream_queue.h"
 
 #include "acaciasill/board/call_board.h"
@@ -14,6 +16,7 @@
 #include "acaciasill/daemon/edge_protocol.h"
 #include "acaciasill/daemon/key_claims.h"
 #include "acaciasill/daemon/request_thread.h"
+#include "acaciasill/decide/content_hash.h"
 #include "acaciasill/net/call_headers.h"
 #include "acaciasill/support/log.h"
 
@@ -50,6 +53,10 @@
 
 using call_table = std::unordered_map<std::uint64_t, std::shared_ptr<running_call>>;
 
+decide::content_hash hash_content(const wire::call_request& request) {
+  return decide::hash_content(request.service, request.method, request.target, request.body);
+}
+
 claim_request make_claim_request(const running_call& call) {
   return {call.request.organisation, call.request.idempotency_key, call.facts.deadline};
 }
@@ -400,6 +407,7 @@
     support::write_event(
         support::log_level::info, "upstream", "ended",
         {{"call", net::format_request_id(call.request.id)},
+         {"content", absl::StrCat(absl::Hex(hash_content(call.request), absl::kZeroPad16))},
          {"rank", std::to_string(call.request.rank)},
          {"held", call.request.holds_finished_work ? "true" : "false"},
          {"started", started ? "true" : "false"},
