--- a/include/acaciasill/net/http_server.h
+++ b/include/acaciasill/net/http_server.h
@@ -104,6 +104,10 @@
   // Closes the connections without an outstanding request and returns the number still open.
   std::size_t close_idle();
 
+  // Closes the listening socket and all connections without answering their requests, as the end of
+  // the process would.
+  void abort();
+
   // Bound port; valid once open() has succeeded.
   std::uint16_t port() const;
 
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -182,6 +182,14 @@
   return implementation_->connections.size();
 }
 
+void http_server::abort() {
+  asio::error_code ignored;
+  implementation_->acceptor.close(ignored);
+  for (const auto& connection : implementation_->open_connections()) {
+    connection->close();
+  }
+}
+
 std::uint16_t http_server::port() const {
   return implementation_->bound_port;
 }
--- a/unittests/platform/cluster_fixture.h
+++ b/unittests/platform/cluster_fixture.h
@@ -182,14 +182,15 @@
     REQUIRE(ended == count);
   }
 
-  void report(const std::string& state, int sequence, int slots = 4) {
+  void report(const std::string& state, int sequence, int slots = 4, int start_ms = 7) {
     net::client_request request;
     request.method = "POST";
     request.target = "/api/Instances.Heartbeat/i-back";
     request.body = R"({"service":"nox78a","address":"127.0.0.3:1","zone":"dc","version":"v",)"
                    R"("capacity":)" +
-                   std::to_string(slots) + R"(,"born":7,"state":")" + state +
-                   R"(","warmup_left_s":0,"sequence":)" + std::to_string(sequence) + "}";
+                   std::to_string(slots) + R"(,"born":)" + std::to_string(start_ms) +
+                   R"(,"state":")" + state + R"(","warmup_left_s":0,"sequence":)" +
+                   std::to_string(sequence) + "}";
     CHECK(send("127.0.0.3", 4, request).status == 200);
   }
 
