Do not report a resent request as not sent

Cause: a repeatable request whose reused connection closes is sent once more on a new one. If that connection is refused, as after a crash, the exchange ended as not sent, and the first sending was forgotten. Ruled out: the interpretation of the reply, which is right for what it is told.

Such an exchange now ends as broken, so that the outcome is unknown: callers get 502, and a further attempt draws on the retry budget, which it did not before.

--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -191,6 +191,10 @@
   using exchange_table = std::unordered_map<std::uint64_t, exchange>;
 
   void finish(exchange_table::iterator entry, client_response response) {
+    if (entry->second.was_resent && response.end == exchange_end::not_sent) {
+      // The server may have run the request before it closed the first connection.
+      response.end = exchange_end::broken;
+    }
     const auto done = std::move(entry->second.done);
     deadlines.erase({entry->second.deadline, entry->first});
     exchanges.erase(entry);
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -22,6 +22,8 @@
   asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
   int requests = 0;
+  // Whether the server stops listening at its second request.
+  bool crashes = false;
 
 private:
   void accept() {
@@ -41,6 +43,9 @@
                                return;
                              }
                              if (++requests > 1) {
+                               if (crashes) {
+                                 acceptor_.close();
+                               }
                                socket->close();
                                return;
                              }
@@ -80,6 +85,19 @@
   CHECK(server.requests == 2);
 }
 
+TEST_CASE("a request that the server may have run before it crashed is not reported as not sent") {
+  asio::io_context context;
+  dropping_server server(context);
+  server.crashes = true;
+  http_client client(context, 4, 1000);
+  client_request request;
+  request.address = server.address();
+  request.method = "GET";
+  CHECK(exchange(context, client, request).end == exchange_end::answered);
+  CHECK(exchange(context, client, request).end == exchange_end::broken);
+  CHECK(server.requests == 2);
+}
+
 TEST_CASE("a refused connection is reported as not sent") {
   asio::io_context context;
   http_client client(context, 4, 1000);
