Refuse a request that has crashed three servers

Callers of three services found all their servers down for some 15 s at a time: one request crashed each server that ran it and came again, at any machine, so that each server that came back was crashed within a second (16 and 12 servers ended under one request).

Cause: no daemon remembered what its server was running when it crashed, so each repeat was a new request. Ruled out: late notice of the crash (0.1 s), and the daemon's own retries alone (attempts that were the only one of their request crashed the only server that was back).

The daemon beside a server records which requests got no answer at a crash, by service, method, target and body, and shares these records in its row of the directory. Each daemon computes from all rows which requests are refused: the one that ran at most crashes explains these, and only the remaining crashes count against others, so that a request is not refused for having run beside the cause. An answer clears a request; a server that answers its health check has not crashed. Records are bounded, end after 900 s, and survive a restart of the daemon in its row.

--- a/include/acaciasill/board/call_board.h
+++ b/include/acaciasill/board/call_board.h
@@ -10,6 +10,7 @@
 #include "acaciasill/board/slot_registry.h"
 #include "acaciasill/board/views.h"
 #include "acaciasill/decide/call_recognition.h"
+#include "acaciasill/decide/crash_suspects.h"
 #include "acaciasill/decide/duplicates.h"
 #include "acaciasill/decide/entry_thresholds.h"
 #include "acaciasill/decide/gate.h"
@@ -48,6 +49,7 @@
   rcu_cell<routing_view> routing;
   rcu_cell<decide::gate_view> admission;
   rcu_cell<backend_target> backend;
+  rcu_cell<decide::crash_view> crashes;
 
   decide::gate gate;
   decide::entry_thresholds thresholds;
@@ -72,6 +74,8 @@
   std::atomic<bool> leaving{false};
   // Number of calls from callers and from peers that have not been answered yet.
   std::atomic<std::uint64_t> calls_in_flight{0};
+  // Number of calls refused because servers have crashed while they ran the same request.
+  std::atomic<std::uint64_t> crashing_calls_refused{0};
   // Number of calls sent to the local backend server.
   std::atomic<std::uint64_t> calls_started{0};
   // Number of calls that the local backend server refused for load since the last limit window.
--- a/include/acaciasill/control/directory.h
+++ b/include/acaciasill/control/directory.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/status/statusor.h"
 
@@ -15,6 +16,7 @@
 #include "acaciasill/control/table_follower.h"
 #include "acaciasill/control/table_replica.h"
 #include "acaciasill/control/table_store.h"
+#include "acaciasill/decide/crash_suspects.h"
 
 // Directory of daemons and their backend servers in a table of the platform. Each daemon maintains
 // its own row and follows the rows of the others.
@@ -43,6 +45,8 @@
   serving_state state = serving_state::absent;
   // Port at which the daemon answers reads of its copies of the tables; 0 if it does not.
   std::uint16_t replica_port = 0;
+  // Crashes of the daemon's backend servers that the daemon remembers.
+  std::vector<decide::crash_requests> crashes;
 
   bool operator==(const directory_entry&) const = default;
 };
--- a/include/acaciasill/daemon/directory_daemon.h
+++ b/include/acaciasill/daemon/directory_daemon.h
@@ -62,6 +62,8 @@
   // Whether the server reports that it is healthy and not leaving.
   bool serving = false;
   std::uint32_t slots = 0;
+  // Whether no connection to the server could be established; the other members are then empty.
+  bool refused = false;
 
   bool operator==(const backend_probe&) const = default;
 };
@@ -75,7 +77,8 @@
   std::string configuration_key;
   std::function<absl::StatusOr<published_configuration>(const control::stored_row&)>
       read_configuration;
-  // Probes the local backend server; passes nullopt if it does not respond.
+  // Probes the local backend server; passes nullopt if it gives no valid
+  // response.
   std::function<void(std::function<void(std::optional<backend_probe>)>)> probe_backend;
   // Address of the local backend server, as "ip:port".
   std::string backend_address;
--- a/include/acaciasill/daemon/upstream_calls.h
+++ b/include/acaciasill/daemon/upstream_calls.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "acaciasill/daemon/daemon_settings.h"
+#include "acaciasill/decide/crash_suspects.h"
 #include "acaciasill/wire/call.h"
 
 namespace acaciasill::board {
@@ -30,6 +31,10 @@
   // Called when an instance states in an answer that it is leaving.
   std::function<void(const std::string& instance, std::uint64_t start_ms)> on_leaving =
       [](const std::string&, std::uint64_t) {};
+  // Called when a connection ends without an answer to the request on it.
+  std::function<void(decide::content_hash)> on_unanswered = [](decide::content_hash) {};
+  // Called when the server has answered a request that was suspected to crash it.
+  std::function<void(decide::content_hash)> on_suspect_answered = [](decide::content_hash) {};
 };
 
 using upstream_reply = std::function<void(wire::call_reply)>;
--- a/lib/control/directory.cpp
+++ b/lib/control/directory.cpp
@@ -31,14 +31,17 @@
 } // namespace
 
 std::string encode_entry(const directory_entry& entry) {
-  const json value = {{"n", entry.name},
-                      {"d", entry.data_centre},
-                      {"s", entry.service},
-                      {"i", entry.instance},
-                      {"b", entry.instance_start_ms},
-                      {"c", entry.slots},
-                      {"r", entry.replica_port},
-                      {"t", state_names[static_cast<std::size_t>(entry.state)]}};
+  json value = {{"n", entry.name},
+                {"d", entry.data_centre},
+                {"s", entry.service},
+                {"i", entry.instance},
+                {"b", entry.instance_start_ms},
+                {"c", entry.slots},
+                {"r", entry.replica_port},
+                {"t", state_names[static_cast<std::size_t>(entry.state)]}};
+  if (!entry.crashes.empty()) {
+    value["x"] = entry.crashes;
+  }
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -54,8 +57,10 @@
     entry.instance_start_ms = parsed.at("b").get<std::uint64_t>();
     entry.slots = parsed.at("c").get<std::uint32_t>();
     entry.replica_port = parsed.value("r", std::uint16_t{0});
+    entry.crashes = parsed.value("x", std::vector<decide::crash_requests>());
+    const bool has_valid_crashes = decide::is_within_bounds(entry.crashes);
     const auto state = parse_state(parsed.at("t").get<std::string>());
-    if (state) {
+    if (state && has_valid_crashes) {
       entry.state = *state;
       return entry;
     }
--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -1,6 +1,7 @@
 #include "acaciasill/daemon/directory_daemon.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -36,6 +37,8 @@
 constexpr support::milliseconds probe_period{500};
 // Interval at which the choice of replicas is revised, besides at each change of the directory.
 constexpr support::milliseconds replica_choice_period{500};
+// Minimum time between two updates of the own row because requests were cleared.
+constexpr support::milliseconds crash_update_period{1000};
 constexpr std::size_t replica_connections = 4;
 constexpr std::size_t max_replica_answer_bytes = std::size_t{16} << 20U;
 
@@ -58,10 +61,22 @@
     if (auto status = plane_.open(); !status.ok()) {
       return status;
     }
-    plane_.make_call_path(nullptr, {[this](bool reached) { on_exchange(reached); },
-                                    [this](const std::string& instance, std::uint64_t start_ms) {
-                                      on_stated_leaving(instance, start_ms);
-                                    }});
+    plane_.make_call_path(
+        nullptr, {[this](bool reached) { on_exchange(reached); },
+                  [this](const std::string& instance, std::uint64_t start_ms) {
+                    on_stated_leaving(instance, start_ms);
+                  },
+                  [this](decide::content_hash content) {
+                    asio::post(context_, [this, content] {
+                      decide::record_unanswered(crash_log_, content, support::monotonic_now());
+                    });
+                  },
+                  [this](decide::content_hash content) {
+                    asio::post(context_, [this, content] {
+                      crashes_changed_ =
+                          decide::record_answered(crash_log_, content) || crashes_changed_;
+                    });
+                  }});
     const auto callers = net::parse_peer_address(settings_.callers_listen);
     if (!callers.ok()) {
       return callers.status();
@@ -177,6 +192,7 @@
     }
     recovered_row_applied_ = true;
     if (const auto& own = tables_->members().initial_local_entry()) {
+      decide::adopt_crashes(crash_log_, own->crashes, support::monotonic_now());
       const bool leaving = own->state == control::serving_state::leaving;
       if (control::apply_stored_state(backend_state_, own->instance, own->instance_start_ms,
                                       leaving)) {
@@ -230,12 +246,90 @@
 
   void on_members() {
     apply_recovered_row();
+    publish_crashes();
     publish_routing(
         board_, routing_,
         control::make_cluster_view(tables_->members().entries(), tables_->members().version()),
         support::monotonic_now());
   }
 
+  // Publishes which requests are refused, given the crashes that all daemons have recorded.
+  void publish_crashes() {
+    const auto now = support::monotonic_now();
+    auto crashes = decide::shared_crashes(crash_log_);
+    decide::crash_view view;
+    for (const auto& requests : crashes) {
+      view.suspected.insert(view.suspected.end(), requests.begin(), requests.end());
+    }
+    std::sort(view.suspected.begin(), view.suspected.end());
+    std::erase_if(seen_crashes_, [this](const auto& seen) {
+      return !tables_->members().entries().contains(seen.first);
+    });
+    for (const auto& [address, entry] : tables_->members().entries()) {
+      auto& seen = seen_crashes_[address];
+      if (seen.crashes != entry.crashes) {
+        seen = {entry.crashes, now};
+      }
+      // A daemon that is gone does not remove its own crashes.
+      const bool is_own = address == plane_.call_address();
+      if (!is_own && now - seen.since < decide::crash_lifetime) {
+        crashes.insert(crashes.end(), entry.crashes.begin(), entry.crashes.end());
+      }
+    }
+    view.refused = decide::refused_requests(std::move(crashes));
+    if (view == published_crashes_) {
+      return;
+    }
+    if (view.refused != published_crashes_.refused) {
+      write_event(log_level::warning, "backend", "requests that crash backend servers",
+                  {{"refused", std::to_string(view.refused.size())},
+                   {"before", std::to_string(published_crashes_.refused.size())},
+                   {"suspected_here", std::to_string(view.suspected.size())},
+                   {"directory_version", std::to_string(tables_->members().version())}});
+    }
+    published_crashes_ = view;
+    board_.crashes.publish(std::make_unique<const decide::crash_view>(std::move(view)));
+  }
+
+  // Records a crash of the backend server if calls to it got no answer, and shares it.
+  void record_crash(const char* sign) {
+    if (!decide::record_crash(crash_log_, published_crashes_.refused, support::monotonic_now())) {
+      return;
+    }
+    write_event(log_level::warning, "backend", "backend server crashed",
+                {{"instance", backend_state_.report.instance},
+                 {"sign", sign},
+                 {"requests", std::to_string(crash_log_.crashes.back().requests.size())},
+                 {"crashes", std::to_string(crash_log_.crashes.size())}});
+    write_own_row();
+    publish_crashes();
+  }
+
+  // Checks whether the server has crashed if a call got no answer, and shares what was cleared.
+  void check_crashes(support::time_point now) {
+    crashes_changed_ = decide::expire_crashes(crash_log_, now) || crashes_changed_;
+    if (crashes_changed_ && now >= next_crash_update_) {
+      next_crash_update_ = now + crash_update_period;
+      crashes_changed_ = false;
+      write_own_row();
+      publish_crashes();
+    }
+    if (crash_log_.unanswered.empty() || !control::is_serving(backend_state_) || probing_ ||
+        now < next_probe_) {
+      return;
+    }
+    probing_ = true;
+    next_probe_ = now + probe_period;
+    adapter_.probe_backend([this, now](const std::optional<backend_probe>& probe) {
+      probing_ = false;
+      if (probe && (probe->refused || probe->instance != backend_state_.report.instance)) {
+        record_crash(probe->refused ? "health check refused" : "another instance");
+      } else if (probe) {
+        decide::record_alive(crash_log_, now);
+      }
+    });
+  }
+
   // Publishes the backend server's state to the call board and to the directory.
   void publish_backend() {
     const bool serving = control::is_serving(backend_state_);
@@ -272,6 +366,7 @@
     entry.instance_start_ms = backend_state_.report.start_ms;
     entry.slots = backend_state_.report.slots;
     entry.replica_port = metrics_server_->port();
+    entry.crashes = decide::shared_crashes(crash_log_);
     using control::backend_availability;
     if (backend_state_.availability == backend_availability::leaving) {
       entry.state = control::serving_state::leaving;
@@ -299,6 +394,7 @@
                  {"draining", report.draining ? "true" : "false"},
                  {"effect", name_of(effect)}});
     if (effect == control::report_effect::new_instance) {
+      record_crash("new instance");
       plane_.upstream().backend_announced(report.warm_up_left.count() > 0);
     }
     publish_backend();
@@ -335,6 +431,7 @@
       if (control::record_request_result(backend_state_, reached, support::monotonic_now())) {
         write_event(log_level::warning, "backend", "backend server refuses connections",
                     {{"instance", backend_state_.report.instance}});
+        record_crash("connections refused");
         publish_backend();
       }
     });
@@ -348,6 +445,7 @@
       }
       const auto now = support::monotonic_now();
       check_backend(now);
+      check_crashes(now);
       check_generation_lag(now);
       if (now >= next_replica_choice_) {
         next_replica_choice_ = now + replica_choice_period;
@@ -466,6 +564,16 @@
   std::uint64_t version_in_force_ = 0;
   board::generation_lag generation_lag_;
   bool recovered_row_applied_ = false;
+  decide::crash_log crash_log_;
+  bool crashes_changed_ = false;
+  support::time_point next_crash_update_{};
+  // Crashes in the rows of other daemons, and since when they have been the same.
+  struct seen_crashes {
+    std::vector<decide::crash_requests> crashes;
+    support::time_point since;
+  };
+  std::map<std::string, seen_crashes> seen_crashes_;
+  decide::crash_view published_crashes_;
   // Last target published to the call board.
   board::backend_target published_backend_;
   bool backend_published_ = false;
--- a/lib/daemon/process_metrics.cpp
+++ b/lib/daemon/process_metrics.cpp
@@ -50,6 +50,9 @@
       gauge("acaciasill_upstream_stated_rate",
             "calls per second that the local backend server states to take",
             decide::rate_in_force(gate.rate)),
+      counter("acaciasill_crashing_calls_refused_total",
+              "calls refused because servers have crashed while they ran the same request",
+              value_of(board.crashing_calls_refused)),
       gauge("acaciasill_calls_in_flight", "calls of callers and peers without an answer",
             value_of(board.calls_in_flight)),
   };
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -115,12 +115,45 @@
       // The departure or loss of the server has not reached the caller yet.
       return result_code::draining;
     }
-    return target.service == request.service ? result_code::ok : result_code::no_upstream;
+    if (target.service != request.service) {
+      return result_code::no_upstream;
+    }
+    const auto& refused = board_.crashes.read(guard).refused;
+    if (!refused.empty() && decide::is_listed(refused, hash_content(request))) {
+      board_.crashing_calls_refused.fetch_add(1, std::memory_order_relaxed);
+      return result_code::crashes_servers;
+    }
+    return result_code::ok;
+  }
+
+  // Reports an exchange that ended without an answer, or that clears a suspected request.
+  void observe_content(const wire::call_request& request, net::exchange_end end) {
+    if (end == net::exchange_end::broken) {
+      environment_.observer.on_unanswered(hash_content(request));
+      return;
+    }
+    if (end != net::exchange_end::answered) {
+      return;
+    }
+    const board::rcu_read_guard guard;
+    const auto& suspected = board_.crashes.read(guard).suspected;
+    if (suspected.empty()) {
+      return;
+    }
+    if (const auto content = hash_content(request); decide::is_listed(suspected, content)) {
+      environment_.observer.on_suspect_answered(content);
+    }
+  }
+
+  // Returns the time after which the caller of a call that the server cannot serve should retry, in
+  // milliseconds; 0 for the default.
+  static std::uint32_t retry_after_ms(result_code code) {
+    return code == result_code::crashes_servers ? decide::crash_retry_after_ms : 0;
   }
 
   void admit(request_thread& home, running_call& call) {
     if (const auto code = check_backend(call.request); code != result_code::ok) {
-      refuse(home, call, code, 0);
+      refuse(home, call, code, retry_after_ms(code));
       return;
     }
     if (!protects()) {
@@ -194,7 +227,7 @@
     // The backend server may have started to leave, or been replaced, since the call arrived.
     if (const auto code = check_backend(call.request); code != result_code::ok) {
       release_unused_slot(call);
-      refuse(home, call, code, 0);
+      refuse(home, call, code, retry_after_ms(code));
       return;
     }
     if (call.request.idempotent || call.request.idempotency_key.empty()) {
@@ -269,6 +302,7 @@
            "running call must stay in the table until its exchange ends");
     auto& call = *found->second;
     environment_.observer.on_exchange(response.end != net::exchange_end::not_sent);
+    observe_content(call.request, response.end);
     auto reply = environment_.protocol->interpret_response(call.request, std::move(response));
     if (reply.stated_rate && decide::record_stated_rate(board_.gate.rate, *reply.stated_rate,
                                                         support::monotonic_now())) {
--- a/unittests/control/directory_test.cpp
+++ b/unittests/control/directory_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 directory_entry entry(const std::string& address, serving_state state = serving_state::ready) {
-  return {address, "n", "dc", "pricing", "i-1", 7, 36, state};
+  return {address, "n", "dc", "pricing", "i-1", 7, 36, state, 0, {}};
 }
 
 struct test_directory {
@@ -38,8 +38,12 @@
 } // namespace
 
 TEST_CASE("an entry round-trips through its row, and other text is rejected") {
-  const auto whole = entry("10.0.0.1:1", serving_state::leaving);
+  auto whole = entry("10.0.0.1:1", serving_state::leaving);
   CHECK(decode_entry(whole.call_address, encode_entry(whole)).value() == whole);
+  whole.crashes = {{1, 0xffffffffffffffff}, {2}};
+  CHECK(decode_entry(whole.call_address, encode_entry(whole)).value() == whole);
+  whole.crashes.assign(acaciasill::decide::max_recorded_crashes + 1, {1});
+  CHECK_FALSE(decode_entry(whole.call_address, encode_entry(whole)).ok());
   for (const auto* text : {"", "{}", "[1]", R"({"n":1})", "\xff\xfe"}) {
     CHECK_FALSE(decode_entry("10.0.0.1:1", text).ok());
   }
--- a/unittests/control/replicated_tables_test.cpp
+++ b/unittests/control/replicated_tables_test.cpp
@@ -85,7 +85,7 @@
 
   static void set_state(modelled_daemon& changed, serving_state state) {
     changed.tables->members().set_local_entry(
-        {changed.address, "n", changed.data_centre, "pricing", "i-1", 7, 36, state, 7001});
+        {changed.address, "n", changed.data_centre, "pricing", "i-1", 7, 36, state, 7001, {}});
   }
 
   void run(duration span) { clock.run_until(clock.now() + span); }
--- a/unittests/platform/node_api_test.cpp
+++ b/unittests/platform/node_api_test.cpp
@@ -51,6 +51,8 @@
   CHECK_FALSE(parse_probe(response)->serving);
   response.headers.clear();
   CHECK_FALSE(parse_probe(response));
+  response.end = net::exchange_end::not_sent;
+  CHECK(parse_probe(response)->refused);
   response.end = net::exchange_end::broken;
   CHECK_FALSE(parse_probe(response));
 }
