Separate crash records and the state of a running call from the daemon's files

What a daemon knows of crashes is now crash_monitor, the state and the log line of a call at the upstream's daemon are running_call, as entry_call is at the entry. Behaviour is the same; the tests of the adapter pass as before.

--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -1,7 +1,6 @@
 #include "acaciasill/daemon/directory_daemon.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 #include <vector>
 
@@ -21,6 +20,7 @@
 #include "acaciasill/support/log.h"
 #include "acaciasill/support/result_code.h"
 
+#include "crash_monitor.h"
 #include "directory_support.h"
 #include "replica_service.h"
 
@@ -37,8 +37,6 @@
 constexpr support::milliseconds probe_period{500};
 // Interval at which the choice of replicas is revised, besides at each change of the directory.
 constexpr support::milliseconds replica_choice_period{500};
-// Minimum time between two updates of the own row because requests were cleared.
-constexpr support::milliseconds crash_update_period{1000};
 constexpr std::size_t replica_connections = 4;
 constexpr std::size_t max_replica_answer_bytes = std::size_t{16} << 20U;
 
@@ -53,7 +51,7 @@
                 settings.max_body_bytes, operating_mode::protect},
                adapter_.protocol, board_, metrics_),
         timer_(context), replica_client_(context, replica_connections, max_replica_answer_bytes),
-        routing_{settings.name, settings.data_centre, {}} {}
+        routing_{settings.name, settings.data_centre, {}}, crashes_(board_) {}
 
   ~implementation() { plane_.stop_threads(); }
 
@@ -61,22 +59,7 @@
     if (auto status = plane_.open(); !status.ok()) {
       return status;
     }
-    plane_.make_call_path(
-        nullptr, {[this](bool reached) { on_exchange(reached); },
-                  [this](const std::string& instance, std::uint64_t start_ms) {
-                    on_stated_leaving(instance, start_ms);
-                  },
-                  [this](decide::content_hash content) {
-                    asio::post(context_, [this, content] {
-                      decide::record_unanswered(crash_log_, content, support::monotonic_now());
-                    });
-                  },
-                  [this](decide::content_hash content) {
-                    asio::post(context_, [this, content] {
-                      crashes_changed_ =
-                          decide::record_answered(crash_log_, content) || crashes_changed_;
-                    });
-                  }});
+    plane_.make_call_path(nullptr, make_observer());
     const auto callers = net::parse_peer_address(settings_.callers_listen);
     if (!callers.ok()) {
       return callers.status();
@@ -101,6 +84,23 @@
     return absl::OkStatus();
   }
 
+  // The callbacks are called on request threads.
+  backend_observer make_observer() {
+    backend_observer observer;
+    observer.on_exchange = [this](bool reached) { on_exchange(reached); };
+    observer.on_leaving = [this](const std::string& instance, std::uint64_t start_ms) {
+      asio::post(context_,
+                 [this, instance, start_ms] { handle_stated_leaving(instance, start_ms); });
+    };
+    observer.on_unanswered = [this](decide::content_hash content) {
+      asio::post(context_, [this, content] { crashes_.record_unanswered(content); });
+    };
+    observer.on_suspect_answered = [this](decide::content_hash content) {
+      asio::post(context_, [this, content] { crashes_.record_answered(content); });
+    };
+    return observer;
+  }
+
   net::http_server_callbacks caller_callbacks(request_thread& home) {
     return {[this, &home](net::http_request request, net::http_responder respond) {
               last_request_.store(support::monotonic_now().time_since_epoch().count(),
@@ -192,7 +192,7 @@
     }
     recovered_row_applied_ = true;
     if (const auto& own = tables_->members().initial_local_entry()) {
-      decide::adopt_crashes(crash_log_, own->crashes, support::monotonic_now());
+      crashes_.adopt(*own);
       const bool leaving = own->state == control::serving_state::leaving;
       if (control::apply_stored_state(backend_state_, own->instance, own->instance_start_ms,
                                       leaving)) {
@@ -253,68 +253,27 @@
         support::monotonic_now());
   }
 
-  // Publishes which requests are refused, given the crashes that all daemons have recorded.
+  // Publishes the crashes that the directory and this daemon know.
   void publish_crashes() {
-    const auto now = support::monotonic_now();
-    auto crashes = decide::shared_crashes(crash_log_);
-    decide::crash_view view;
-    for (const auto& requests : crashes) {
-      view.suspected.insert(view.suspected.end(), requests.begin(), requests.end());
-    }
-    std::sort(view.suspected.begin(), view.suspected.end());
-    std::erase_if(seen_crashes_, [this](const auto& seen) {
-      return !tables_->members().entries().contains(seen.first);
-    });
-    for (const auto& [address, entry] : tables_->members().entries()) {
-      auto& seen = seen_crashes_[address];
-      if (seen.crashes != entry.crashes) {
-        seen = {entry.crashes, now};
-      }
-      // A daemon that is gone does not remove its own crashes.
-      const bool is_own = address == plane_.call_address();
-      if (!is_own && now - seen.since < decide::crash_lifetime) {
-        crashes.insert(crashes.end(), entry.crashes.begin(), entry.crashes.end());
-      }
-    }
-    view.refused = decide::refused_requests(std::move(crashes));
-    if (view == published_crashes_) {
-      return;
-    }
-    if (view.refused != published_crashes_.refused) {
-      write_event(log_level::warning, "backend", "requests that crash backend servers",
-                  {{"refused", std::to_string(view.refused.size())},
-                   {"before", std::to_string(published_crashes_.refused.size())},
-                   {"suspected_here", std::to_string(view.suspected.size())},
-                   {"directory_version", std::to_string(tables_->members().version())}});
-    }
-    published_crashes_ = view;
-    board_.crashes.publish(std::make_unique<const decide::crash_view>(std::move(view)));
+    crashes_.publish(tables_->members().entries(), tables_->members().version(),
+                     plane_.call_address());
   }
 
-  // Records a crash of the backend server if calls to it got no answer, and shares it.
+  // Records and shares a crash of the backend server if requests to it got no answer.
   void record_crash(const char* sign) {
-    if (!decide::record_crash(crash_log_, published_crashes_.refused, support::monotonic_now())) {
-      return;
+    if (crashes_.record_crash(backend_state_.report.instance, sign)) {
+      write_own_row();
+      publish_crashes();
     }
-    write_event(log_level::warning, "backend", "backend server crashed",
-                {{"instance", backend_state_.report.instance},
-                 {"sign", sign},
-                 {"requests", std::to_string(crash_log_.crashes.back().requests.size())},
-                 {"crashes", std::to_string(crash_log_.crashes.size())}});
-    write_own_row();
-    publish_crashes();
   }
 
-  // Checks whether the server has crashed if a call got no answer, and shares what was cleared.
+  // Checks whether the server has crashed if a request got no answer, and shares what was cleared.
   void check_crashes(support::time_point now) {
-    crashes_changed_ = decide::expire_crashes(crash_log_, now) || crashes_changed_;
-    if (crashes_changed_ && now >= next_crash_update_) {
-      next_crash_update_ = now + crash_update_period;
-      crashes_changed_ = false;
+    if (crashes_.update(now)) {
       write_own_row();
       publish_crashes();
     }
-    if (crash_log_.unanswered.empty() || !control::is_serving(backend_state_) || probing_ ||
+    if (!crashes_.needs_health_check() || !control::is_serving(backend_state_) || probing_ ||
         now < next_probe_) {
       return;
     }
@@ -325,7 +284,7 @@
       if (probe && (probe->refused || probe->instance != backend_state_.report.instance)) {
         record_crash(probe->refused ? "health check refused" : "another instance");
       } else if (probe) {
-        decide::record_alive(crash_log_, now);
+        crashes_.record_alive(now);
       }
     });
   }
@@ -366,7 +325,7 @@
     entry.instance_start_ms = backend_state_.report.start_ms;
     entry.slots = backend_state_.report.slots;
     entry.replica_port = metrics_server_->port();
-    entry.crashes = decide::shared_crashes(crash_log_);
+    entry.crashes = crashes_.shared();
     using control::backend_availability;
     if (backend_state_.availability == backend_availability::leaving) {
       entry.state = control::serving_state::leaving;
@@ -409,15 +368,12 @@
     }
   }
 
-  // Thread-safe.
-  void on_stated_leaving(const std::string& instance, std::uint64_t start_ms) {
-    asio::post(context_, [this, instance, start_ms] {
-      if (control::apply_departure(backend_state_, instance, start_ms)) {
-        write_event(log_level::info, "backend", "backend server states that it is leaving",
-                    {{"instance", instance}, {"start_ms", std::to_string(start_ms)}});
-        publish_backend();
-      }
-    });
+  void handle_stated_leaving(const std::string& instance, std::uint64_t start_ms) {
+    if (control::apply_departure(backend_state_, instance, start_ms)) {
+      write_event(log_level::info, "backend", "backend server states that it is leaving",
+                  {{"instance", instance}, {"start_ms", std::to_string(start_ms)}});
+      publish_backend();
+    }
   }
 
   // Thread-safe.
@@ -564,16 +520,7 @@
   std::uint64_t version_in_force_ = 0;
   board::generation_lag generation_lag_;
   bool recovered_row_applied_ = false;
-  decide::crash_log crash_log_;
-  bool crashes_changed_ = false;
-  support::time_point next_crash_update_{};
-  // Crashes in the rows of other daemons, and since when they have been the same.
-  struct seen_crashes {
-    std::vector<decide::crash_requests> crashes;
-    support::time_point since;
-  };
-  std::map<std::string, seen_crashes> seen_crashes_;
-  decide::crash_view published_crashes_;
+  crash_monitor crashes_;
   // Last target published to the call board.
   board::backend_target published_backend_;
   bool backend_published_ = false;
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -8,6 +8,7 @@
 #include <asio/post.hpp>
 
 #include "acaciasill/daemon/entry_request.h"
+#include "crash_monitor.h"
 #include "entry_answer.h"
 #include "entry_call.h"
 
@@ -184,8 +185,7 @@
 
   // Starts the next attempt.
   void send(const call_ptr& call, support::time_point now) {
-    if (crashes_servers(call->request.call)) {
-      board_.crashing_calls_refused.fetch_add(1, std::memory_order_relaxed);
+    if (is_refused_for_crashes(board_, call->request.call)) {
       finish(*call, refusal_reply(result_code::crashes_servers, decide::crash_retry_after_ms));
       return;
     }
@@ -216,14 +216,6 @@
         [this, call](wire::call_reply reply) { on_reply(call, std::move(reply)); });
   }
 
-  bool crashes_servers(const wire::call_request& request) const {
-    const board::rcu_read_guard guard;
-    const auto& refused = board_.crashes.read(guard).refused;
-    return !refused.empty() &&
-           decide::is_listed(refused, decide::hash_content(request.service, request.method,
-                                                           request.target, request.body));
-  }
-
   // Bounds an attempt of an idempotent call, so that time is left for another upstream if this one
   // does not answer.
   support::time_point attempt_deadline(const entry_call& call, support::time_point now) const {
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -7,8 +7,8 @@
 
 #include <asio/post.hpp>
 
-#include "absl/strings/str_cat.h"
-
+#include "crash_monitor.h"
+#include "running_call.h"
 #include "upstream_queue.h"
 
 #include "acaciasill/board/call_board.h"
@@ -16,8 +16,6 @@
 #include "acaciasill/daemon/edge_protocol.h"
 #include "acaciasill/daemon/key_claims.h"
 #include "acaciasill/daemon/request_thread.h"
-#include "acaciasill/decide/content_hash.h"
-#include "acaciasill/net/call_headers.h"
 #include "acaciasill/support/log.h"
 
 namespace acaciasill::daemon {
@@ -30,33 +28,8 @@
 // Maximum rate of log lines about the rate that the backend server states.
 constexpr std::uint32_t rate_log_lines_per_second = 2;
 
-// Stage of a call at the upstream's daemon.
-enum class call_stage : std::uint8_t { waiting, claiming, running, ended };
-
-// State of one call, accessed only on its home thread.
-struct running_call {
-  std::uint64_t id = 0;
-  wire::call_request request;
-  upstream_reply reply;
-  decide::request_facts facts;
-  support::time_point arrived;
-  support::time_point started;
-  call_stage stage = call_stage::waiting;
-  // Claim under which the call runs.
-  std::optional<std::uint64_t> claim;
-  std::uint64_t exchange = 0;
-  // Instance of the backend server that the call was sent to.
-  std::string instance;
-  std::uint64_t instance_start_ms = 0;
-  std::optional<decide::parent_ref> parent;
-};
-
 using call_table = std::unordered_map<std::uint64_t, std::shared_ptr<running_call>>;
 
-decide::content_hash hash_content(const wire::call_request& request) {
-  return decide::hash_content(request.service, request.method, request.target, request.body);
-}
-
 claim_request make_claim_request(const running_call& call) {
   return {call.request.organisation, call.request.idempotency_key, call.facts.deadline};
 }
@@ -118,9 +91,7 @@
     if (target.service != request.service) {
       return result_code::no_upstream;
     }
-    const auto& refused = board_.crashes.read(guard).refused;
-    if (!refused.empty() && decide::is_listed(refused, hash_content(request))) {
-      board_.crashing_calls_refused.fetch_add(1, std::memory_order_relaxed);
+    if (is_refused_for_crashes(board_, request)) {
       return result_code::crashes_servers;
     }
     return result_code::ok;
@@ -413,7 +384,9 @@
     }
     const auto now = support::monotonic_now();
     const bool started = call.started != support::time_point{};
-    log_finished_call(call, reply, started, now);
+    if (std::uint32_t dropped = 0; call_log_budget_.allow(now, dropped)) {
+      log_call_end(call, reply, board_.gate, now, dropped);
+    }
     trace_record record;
     record.id = call.request.id;
     record.role = trace_role::upstream;
@@ -430,37 +403,6 @@
     home.traces.add(std::move(record));
   }
 
-  // Logs the end of a call that did not complete or that is sampled.
-  void log_finished_call(const running_call& call, const wire::call_reply& reply, bool started,
-                         support::time_point now) {
-    std::uint32_t dropped = 0;
-    if (!call_log_budget_.allow(now, dropped)) {
-      return;
-    }
-    const auto queued = microseconds_between(call.arrived, started ? call.started : now);
-    support::write_event(
-        support::log_level::info, "upstream", "ended",
-        {{"call", net::format_request_id(call.request.id)},
-         {"content", absl::StrCat(absl::Hex(hash_content(call.request), absl::kZeroPad16))},
-         {"rank", std::to_string(call.request.rank)},
-         {"held", call.request.holds_finished_work ? "true" : "false"},
-         {"started", started ? "true" : "false"},
-         {"queued_us", std::to_string(queued)},
-         {"total_us", std::to_string(microseconds_between(call.arrived, now))},
-         {"in_flight", std::to_string(board_.gate.in_flight.load(std::memory_order_relaxed))},
-         {"waiting", std::to_string(board_.gate.waiting.load(std::memory_order_relaxed))},
-         {"limit", std::to_string(board_.gate.limit.load(std::memory_order_relaxed))},
-         {"threshold", std::to_string(reply.threshold)},
-         {"outcome", std::string(outcome_name(reply.outcome))},
-         {"code", support::format_code(reply.code)},
-         {"lines_dropped_before", std::to_string(dropped)}});
-  }
-
-  static std::uint64_t microseconds_between(support::time_point from, support::time_point to) {
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<support::microseconds>(to - from).count());
-  }
-
   void cancel(request_thread& home, std::uint64_t id) {
     const auto found = calls_[home.index].find(id);
     if (found == calls_[home.index].end()) {
