--- a/include/acaciasill/daemon/directory_daemon.h
+++ b/include/acaciasill/daemon/directory_daemon.h
@@ -77,8 +77,7 @@
   std::string configuration_key;
   std::function<absl::StatusOr<published_configuration>(const control::stored_row&)>
       read_configuration;
-  // Probes the local backend server; passes nullopt if it gives no valid
-  // response.
+  // Probes the local backend server; passes nullopt if it gives no valid response.
   std::function<void(std::function<void(std::optional<backend_probe>)>)> probe_backend;
   // Address of the local backend server, as "ip:port".
   std::string backend_address;
--- a/lib/daemon/crash_monitor.cpp
+++ b/lib/daemon/crash_monitor.cpp
@@ -72,10 +72,13 @@
 crash_monitor::collect(const std::map<std::string, control::directory_entry>& entries,
                        const std::string& own_address) {
   const auto now = support::monotonic_now();
-  std::erase_if(seen_, [&entries](const auto& seen) { return !entries.contains(seen.first); });
+  std::erase_if(seen_, [&entries](const auto& seen) {
+    const auto entry = entries.find(seen.first);
+    return entry == entries.end() || entry->second.crashes.empty();
+  });
   auto crashes = shared();
   for (const auto& [address, entry] : entries) {
-    if (address == own_address) {
+    if (address == own_address || entry.crashes.empty()) {
       continue;
     }
     auto& seen = seen_[address];
