Run the end to end tests of the adapter one at a time

The three new tests are programs of their own in ctest, and their daemons listen at the same addresses and ports as those of unit.platform. The sanitizer step runs tests in parallel, where two could choose the same ports. Found by reading; a lock of ctest keeps them apart.

--- a/cmake/acaciasill.cmake
+++ b/cmake/acaciasill.cmake
@@ -53,6 +53,9 @@
   add_test(NAME scale.control COMMAND control_tests "[scale]")
   foreach(tag stated_rate stated_leaving crashing_request)
     add_test(NAME unit.platform.${tag} COMMAND platform_tests "[.${tag}]")
+    # The daemons of these tests listen at the same addresses and ports.
+    set_tests_properties(unit.platform unit.platform.${tag} PROPERTIES
+      RESOURCE_LOCK platform_addresses)
   endforeach()
   file(GLOB scripts CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/test/*.test)
   foreach(script ${scripts})
