Return unused attempts of the retry budget to the call

Callers saw requests fail although attempts were left: what a reply reported as unused never came back to the call that had lent it, so that a call that lent attempts could not be retried itself.

Cause: begin() resets the budget, which begins epoch 1, and on_reply returned the unused attempts to epoch 0, where they count as spent. Ruled out: the tokens, of which few were used, and the reply, which states the attempts as unused.

on_reply returns them to the present epoch; the budget of an entry's call is not shared or used again, so no late return can meet another request. The new test fails before with 1 attempt held of 3.

--- a/lib/decide/request_path.cpp
+++ b/lib/decide/request_path.cpp
@@ -13,7 +13,7 @@
   for (const auto subject : subjects) {
     record_threshold(thresholds, subject, reply.organisation, reply.threshold, now);
   }
-  return_attempts(budget, reply.lent_attempts, reply.unused_attempts);
+  return_attempts(budget, reply.lent_attempts, reply.unused_attempts, budget_epoch(budget));
 }
 
 void on_reply(upstream_load& load, const lost_reply& /*lost*/, support::time_point now) {
--- a/unittests/decide/retry_test.cpp
+++ b/unittests/decide/retry_test.cpp
@@ -1,3 +1,4 @@
+#include "acaciasill/decide/request_path.h"
 #include "acaciasill/decide/retry.h"
 
 #include <catch2/catch.hpp>
@@ -103,3 +104,17 @@
   CHECK(take_retry(tokens, now));
   CHECK(tokens.thousandths == 4500);
 }
+
+TEST_CASE("attempts that a reply reports as unused return to the budget of the call") {
+  attempt_budget budget;
+  reset_budget(budget, 3);
+  const auto lent = lend_attempts(budget);
+  upstream_load load;
+  entry_thresholds thresholds(0, 0);
+  begin_attempt(load);
+  reply_facts reply;
+  reply.lent_attempts = lent;
+  reply.unused_attempts = lent;
+  on_reply(load, thresholds, {}, budget, reply, {});
+  CHECK(held_attempts(budget) == 3);
+}
