Lend spare attempts to calls whose call graph is not declared

Cause: attempts are lent only to a service whose object lists its calls. The platform's operator lists none, so that no call of a running request had an attempt to spend. Ruled out: the parent, which is found; the tokens.

Requests matched by host lend; whether a failure may come from below is decided as before. The new test fails before with 500.

--- a/include/acaciasill/daemon/entry_request.h
+++ b/include/acaciasill/daemon/entry_request.h
@@ -39,9 +39,11 @@
   bool may_be_backend_call = false;
   // Request that the call states to belong to; it counts only if that request is running here.
   std::optional<wire::request_id> stated_parent;
-  // Whether the destination calls other services, so that its failure may originate from one of
-  // them.
+  // Whether the destination calls other services according to the configuration, so that its
+  // failure may originate from one of them.
   bool destination_calls_others = false;
+  // Whether part of the retry budget is lent to the destination for calls that its server makes.
+  bool lends_attempts = false;
   std::uint32_t organisation_slot = 0;
   std::uint32_t service_slot = 0;
   // Subject of the learned thresholds: the route, or the service if no route matches.
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -195,7 +195,7 @@
     }
     auto request = call->request.call;
     ++call->attempts;
-    const bool lends_attempts = protects() && call->request.destination_calls_others;
+    const bool lends_attempts = protects() && call->request.lends_attempts;
     call->current.lent_attempts = lends_attempts ? decide::lend_attempts(call->budget) : 0;
     request.lent_attempts = call->current.lent_attempts;
     request.generation = board_.generations.in_force.load(std::memory_order_relaxed);
--- a/lib/daemon/entry_request.cpp
+++ b/lib/daemon/entry_request.cpp
@@ -182,6 +182,8 @@
   result.returning_rank = route->returning_rank;
   result.caller_time_left = facts.deadline;
   result.destination_calls_others = !compiled.calls.empty();
+  // Host routes may lead to services whose calls are not declared.
+  result.lends_attempts = true;
   result.retry_ratio = compiled.limits.retry_ratio;
   if (result.deadline <= now) {
     return make_error(result_code::deadline_exceeded);
@@ -236,6 +238,7 @@
   }
   result.deadline = now + headers.deadline.value_or(compiled.limits.default_deadline);
   result.destination_calls_others = !compiled.calls.empty();
+  result.lends_attempts = result.destination_calls_others;
   result.retry_ratio = compiled.limits.retry_ratio;
 
   if (const auto context = parse_context(headers.context, call.id, signer)) {
--- a/unittests/platform/cluster_fixture.h
+++ b/unittests/platform/cluster_fixture.h
@@ -69,7 +69,9 @@
          R"("r-2":{"host":"h.example","prefix":")" +
          second_prefix +
          R"(","kind":"non_idempotent","timeout_s":0.4,)"
-         R"("target_latency_s":1,"priority":0,"service":"nox78a","attempts":2}},)"
+         R"("target_latency_s":1,"priority":0,"service":"nox78a","attempts":2},)"
+         R"("r-3":{"host":"h.example","prefix":"/f/","kind":"idempotent","timeout_s":2,)"
+         R"("target_latency_s":1,"priority":1,"service":"front","attempts":2}},)"
          R"("services":{"front":{"health_path":"/health"},"nox78a":{"health_path":"/health"}},)"
          R"("limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_s":3,)"
          R"("idle_timeout_s":15}})";
@@ -81,8 +83,8 @@
 public:
   test_cluster()
       : store(context, "127.0.0.1"), front(context, "127.0.0.2", "i-front"),
-        back(context, "127.0.0.3", "i-back"), client(context, 8, 1 << 20),
-        burst_client(context, 64, 1 << 20) {
+        back(context, "127.0.0.3", "i-back"), second_front(context, "127.0.0.4", "i-front-2"),
+        client(context, 8, 1 << 20), burst_client(context, 64, 1 << 20) {
     REQUIRE(store.open().ok());
     REQUIRE(front.open().ok());
     REQUIRE(back.open().ok());
@@ -92,6 +94,14 @@
     nodes.push_back(std::make_unique<running_node>(settings("127.0.0.3", "nox78a", back.port())));
   }
 
+  // Adds a second server of the first service, with a daemon.
+  void add_second_front() {
+    REQUIRE(second_front.open().ok());
+    auto added = settings("127.0.0.4", "front", second_front.port());
+    added.daemon.name = "n-front-2";
+    nodes.push_back(std::make_unique<running_node>(added));
+  }
+
   void stop_back_daemon() { nodes[1]->stop(); }
 
   // Replaces the daemon beside the second service's server by a new process, which knows nothing.
@@ -100,12 +110,12 @@
     nodes[1] = std::make_unique<running_node>(settings("127.0.0.3", "nox78a", back.port()));
   }
 
-  // Returns the first of five consecutive ports that are free on both addresses; the daemons share
+  // Returns the first of five consecutive ports that are free on all addresses; the daemons share
   // one port range, as on the platform. Returns 0 if there are none.
   static std::uint16_t free_ports() {
     for (std::uint16_t base = 21000; base < 30000; base += 10) {
       bool free = true;
-      for (const auto* ip : {"127.0.0.2", "127.0.0.3"}) {
+      for (const auto* ip : {"127.0.0.2", "127.0.0.3", "127.0.0.4"}) {
         for (std::uint16_t port = base; port < base + 5; ++port) {
           free = free && net::check_port_available(ip, port).ok();
         }
@@ -211,6 +221,7 @@
   standin::table_service store;
   standin::backend_server front;
   standin::backend_server back;
+  standin::backend_server second_front;
   net::http_client client;
   net::http_client burst_client;
   std::uint16_t first_port = 0;
--- /dev/null
+++ b/unittests/platform/inner_call_test.cpp
@@ -0,0 +1,58 @@
+#include <catch2/catch.hpp>
+
+#include "cluster_fixture.h"
+
+using namespace acaciasill;
+using namespace acaciasill::platform;
+using namespace acaciasill::platform::testing;
+
+namespace {
+
+// Makes the server of the second service call the first service for each request, and answer with
+// the status of that call.
+void call_front_for_each_request(test_cluster& cluster) {
+  cluster.back.set_handler(
+      [&cluster](const net::http_request& request, const net::http_responder& respond) {
+        const auto id = *net::find_field(request.headers, "Request-Id");
+        auto inner = cluster.caller_request("/f/x", "GET", support::seconds(1));
+        inner.address = {asio::ip::make_address("127.0.0.3"),
+                         static_cast<std::uint16_t>(cluster.first_port + 2)};
+        inner.headers[1].value = id + ".1";
+        cluster.client.send(std::move(inner), [respond, id](const net::client_response& response) {
+          const std::uint16_t status = response.status == 200 ? 200 : 500;
+          respond({status, {{"Request-Id", id}, {"Server-Stamp", "i-back." + id}}, "", false});
+        });
+        return true;
+      });
+}
+
+standin::request_handler refuse_first(int& refused, int count) {
+  return [&refused, count](const net::http_request&, const net::http_responder& respond) {
+    if (refused >= count) {
+      return false;
+    }
+    ++refused;
+    respond({503, {{"Not-Run", "1"}}, "", false});
+    return true;
+  };
+}
+
+} // namespace
+
+TEST_CASE("a call of a running request that a server turns away is sent to another server",
+          "[.inner_call]") {
+  test_cluster cluster;
+  cluster.add_second_front();
+  cluster.report("ready", 1, 8);
+  call_front_for_each_request(cluster);
+  // Both servers of the first service are known once each has served a call.
+  while (cluster.front.executed_requests().empty() ||
+         cluster.second_front.executed_requests().empty()) {
+    REQUIRE(cluster.call_until("/a/x", 200).status == 200);
+  }
+  int refused = 0;
+  cluster.front.set_handler(refuse_first(refused, 1));
+  cluster.second_front.set_handler(refuse_first(refused, 1));
+  CHECK(cluster.call("/a/x").status == 200);
+  CHECK(refused == 1);
+}
