--- a/include/acaciasill/decide/retry.h
+++ b/include/acaciasill/decide/retry.h
@@ -45,9 +45,9 @@
 // Returns one attempt that was taken but not sent.
 void restore_attempt(attempt_budget& budget);
 
-// Takes out the attempts to lend to the next child call: half of those held, rounded up, so that
-// the last attempt reaches the hop next to the failure. A call to a service that makes no calls
-// itself is lent nothing, since no hop below could use it.
+// Takes out the attempts to lend to the next child call: all but one, so that most are available at
+// the hop next to the failure however deep it is, and the last one if no more is held. A call to a
+// service that makes no calls itself is lent nothing, since no hop below could use it.
 std::uint32_t lend_attempts(attempt_budget& budget);
 
 // Returns attempts that a child's reply reports as unused, at most the number lent, and returns the
--- a/lib/decide/retry.cpp
+++ b/lib/decide/retry.cpp
@@ -132,7 +132,7 @@
   auto state = budget.state.load(relaxed);
   while (true) {
     const auto held = static_cast<std::uint32_t>(state);
-    const auto lent = held / 2 + held % 2;
+    const auto lent = std::max(std::min(held, 1U), held - std::min(held, 1U));
     if (lent == 0 || budget.state.compare_exchange_weak(state, state - lent, relaxed)) {
       return lent;
     }
--- a/unittests/decide/retry_test.cpp
+++ b/unittests/decide/retry_test.cpp
@@ -118,3 +118,11 @@
   on_reply(load, thresholds, {}, budget, reply, {});
   CHECK(held_attempts(budget) == 3);
 }
+
+TEST_CASE("all attempts but one are lent, and the last one if no more is held") {
+  for (const auto& [held, lent] : {std::pair{10U, 9U}, {2U, 1U}, {1U, 1U}, {0U, 0U}}) {
+    attempt_budget budget(held);
+    CHECK(lend_attempts(budget) == lent);
+    CHECK(held_attempts(budget) == held - lent);
+  }
+}
