Give scarce retries to important requests and to those that have come furthest

Callers of the most important kind failed as often as all others, since retries went to whichever call failed first: of 3,300 repeats most belonged to requests that failed at their next call.

A retry that is refused for lack of tokens now holds back less urgent ones for 0.3 s; urgent are important requests, and among them those with calls that have completed.

--- a/include/acaciasill/decide/retry.h
+++ b/include/acaciasill/decide/retry.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASILL_DECIDE_RETRY_H
 #define ACACIASILL_DECIDE_RETRY_H
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 
@@ -56,20 +57,50 @@
 std::uint32_t return_attempts(attempt_budget& budget, std::uint32_t lent, std::uint32_t unused,
                               std::uint32_t epoch = 0);
 
+// Number of seconds of which the tokens earned are remembered.
+inline constexpr std::uint32_t earned_seconds = 16;
+
 // Token bucket for the retry ratio of one caller and one destination: every first attempt earns a
-// fraction of a retry.
+// fraction of a retry. Where first attempts become fewer, e.g. because requests end early during a
+// failure, tokens accumulate for some seconds at the rate at which they were earned before.
 struct retry_tokens {
   // Tokens in thousandths of a retry; initially one retry.
   std::atomic<std::int32_t> thousandths{1000};
   // Time of the last decay, in milliseconds.
   std::atomic<std::uint32_t> decayed_ms{0};
+  // Thousandths earned in each of the last seconds: the second in the high half, and the amount in
+  // the low half.
+  std::array<std::atomic<std::uint64_t>, earned_seconds> earned{};
+  // Time of the last refill, in milliseconds.
+  std::atomic<std::uint32_t> refilled_ms{0};
+  // Thousandths up to which unused tokens accumulate.
+  std::atomic<std::int32_t> maximum{10000};
+  // Thousandths earned since the last refill.
+  std::atomic<std::uint32_t> earned_since_refill{0};
+  // Latest refusal of a retry for lack of tokens: its time in milliseconds in the high half, and
+  // the urgency of the retry in the low half; 0 if there was none.
+  std::atomic<std::uint64_t> denied{0};
 };
 
+// Urgency of a retry; a smaller value is more urgent.
+using retry_urgency = std::uint32_t;
+
+// Returns the urgency of a retry for a request of this rank: retries of more important requests go
+// first, then those of requests for which calls have completed already, since fewer attempts
+// complete them and more work is lost if they fail.
+constexpr retry_urgency urgency_of(std::uint8_t rank, bool has_completed_calls) {
+  return rank * 2U + (has_completed_calls ? 0U : 1U);
+}
+
+// Time for which a retry that is refused for lack of tokens holds back less urgent ones.
+inline constexpr support::milliseconds denial_memory{300};
+
 // Adds tokens for a first attempt. The ratio is limits::retry_ratio.
 void earn_retry(retry_tokens& tokens, double ratio, support::time_point now);
 
-// Takes the tokens of one retry; returns false if there are not enough.
-bool take_retry(retry_tokens& tokens, support::time_point now);
+// Takes the tokens of one retry; returns false if there are not enough, or if a more urgent retry
+// has been refused within denial_memory.
+bool take_retry(retry_tokens& tokens, support::time_point now, retry_urgency urgency = 0);
 
 // Facts about a failed attempt and its call.
 struct failed_attempt {
@@ -85,6 +116,7 @@
   std::uint32_t subset_size = 1;
   // Retries of this call so far that used the budget.
   std::uint32_t retries = 0;
+  retry_urgency urgency = 0;
   support::time_point deadline{};
   support::duration expected_service_time{};
 
--- a/lib/daemon/entry_call.h
+++ b/lib/daemon/entry_call.h
@@ -40,6 +40,7 @@
   net::http_responder respond;
   support::time_point arrived;
   decide::level level = 0;
+  decide::retry_urgency urgency = 0;
   // Remaining attempts: granted at the entry, or lent by the parent.
   decide::attempt_budget budget;
   std::uint32_t first_budget = 0;
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -83,10 +83,10 @@
     if (request.from_backend) {
       call->parent = decide::find_parent(board_.parents, id);
     }
-    request.call.holds_finished_work =
-        request.call.holds_finished_work ||
-        (call->parent && board_.parents.cells[call->parent->cell].holds_finished_work.load(
-                             std::memory_order_relaxed));
+    const bool has_completed_calls =
+        call->parent && board_.parents.cells[call->parent->cell].holds_finished_work.load(
+                            std::memory_order_relaxed);
+    request.call.holds_finished_work = request.call.holds_finished_work || has_completed_calls;
     if (call->parent && request.inherits_rank) {
       request.call.rank =
           board_.parents.cells[call->parent->cell].rank.load(std::memory_order_relaxed);
@@ -96,6 +96,7 @@
                              *request.caller_time_left, now)) {
       request.call.rank = request.returning_rank;
     }
+    call->urgency = decide::urgency_of(request.call.rank, has_completed_calls);
     call->level = decide::make_level(request.call.rank, request.call.holds_finished_work, id);
     call->first_budget = call->parent ? decide::borrow_from_parent(board_.parents, *call->parent)
                                       : request.retry_budget;
@@ -346,6 +347,7 @@
     failed.tried = static_cast<std::uint32_t>(call->tried.size());
     failed.subset_size = call->subset_size;
     failed.retries = call->retries;
+    failed.urgency = call->urgency;
     failed.deadline = call->request.deadline;
     failed.expected_service_time = support::microseconds(reply.service_time_us);
     const auto decision = decide::may_retry(
--- a/lib/decide/retry.cpp
+++ b/lib/decide/retry.cpp
@@ -9,10 +9,19 @@
 using support::result_code;
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr std::int32_t tokens_per_retry = 1000;
-// Maximum number of consecutive retries for which unused tokens accumulate.
+// Unused tokens accumulate up to this number of retries, or up to what half a second earns at the
+// highest recent rate.
 constexpr std::int32_t max_tokens = 10 * tokens_per_retry;
+constexpr std::uint32_t max_saved_divisor = 2;
 // Half-life of tokens beyond one retry.
 constexpr std::uint32_t half_life_ms = 1000;
+constexpr std::uint32_t milliseconds_per_second = 1000;
+// Interval of refills, and the longest time that one refill accounts for.
+constexpr std::uint32_t refill_interval_ms = 100;
+constexpr std::uint32_t max_refill_ms = 1000;
+// Length of the windows over which the rate of earning is determined. The latest window and the one
+// that ends half a window earlier count.
+constexpr std::uint32_t window_s = 10;
 constexpr support::milliseconds backoff_base{10};
 constexpr support::milliseconds max_backoff{500};
 constexpr std::uint32_t max_exponent = 10;
@@ -68,6 +77,79 @@
   }
 }
 
+void add_tokens(retry_tokens& tokens, std::int32_t added, std::int32_t maximum) {
+  auto before = tokens.thousandths.load(relaxed);
+  while (before < maximum) {
+    const auto after = std::min(maximum, before + added);
+    if (tokens.thousandths.compare_exchange_weak(before, after, relaxed)) {
+      return;
+    }
+  }
+}
+
+void record_earned(retry_tokens& tokens, std::uint32_t amount, std::uint32_t second) {
+  auto& cell = tokens.earned[second % earned_seconds];
+  auto before = cell.load(relaxed);
+  while (true) {
+    const auto present = static_cast<std::uint32_t>(before >> 32U) == second
+                             ? static_cast<std::uint32_t>(before)
+                             : std::uint32_t{0};
+    const auto after = (std::uint64_t{second} << 32U) | (present + amount);
+    if (cell.compare_exchange_weak(before, after, relaxed)) {
+      return;
+    }
+  }
+}
+
+// Returns the thousandths earned in the window that ends before the given second.
+std::uint32_t earned_in_window(const retry_tokens& tokens, std::uint32_t end) {
+  std::uint32_t sum = 0;
+  for (std::uint32_t second = end - window_s; second != end; ++second) {
+    const auto cell = tokens.earned[second % earned_seconds].load(relaxed);
+    if (static_cast<std::uint32_t>(cell >> 32U) == second) {
+      sum += static_cast<std::uint32_t>(cell);
+    }
+  }
+  return sum;
+}
+
+// Adds the tokens by which fewer have been earned since the last refill than at the highest recent
+// rate. One caller wins each refill.
+void refill(retry_tokens& tokens, support::time_point now) {
+  const auto stamp = milliseconds_of(now);
+  auto last = tokens.refilled_ms.load(relaxed);
+  const auto age = stamp - last;
+  if (age < refill_interval_ms || age > std::uint32_t{1} << 31U ||
+      !tokens.refilled_ms.compare_exchange_strong(last, stamp, relaxed)) {
+    return;
+  }
+  const auto second = stamp / milliseconds_per_second;
+  const auto highest =
+      std::max(earned_in_window(tokens, second), earned_in_window(tokens, second - window_s / 2));
+  const auto due =
+      std::uint64_t{highest} * std::min(age, max_refill_ms) / (window_s * milliseconds_per_second);
+  const auto earned = tokens.earned_since_refill.exchange(0, relaxed);
+  const auto maximum = static_cast<std::int32_t>(
+      std::max<std::uint32_t>(max_tokens, highest / window_s / max_saved_divisor));
+  tokens.maximum.store(maximum, relaxed);
+  if (due > earned) {
+    add_tokens(tokens, static_cast<std::int32_t>(due - earned), maximum);
+  }
+}
+
+// Returns true if a more urgent retry has been refused for lack of tokens a short time ago.
+bool is_held_back(const retry_tokens& tokens, retry_urgency urgency, std::uint32_t stamp) {
+  const auto denied = tokens.denied.load(relaxed);
+  return denied != 0 && static_cast<retry_urgency>(denied) < urgency &&
+         stamp - static_cast<std::uint32_t>(denied >> 32U) < denial_memory.count();
+}
+
+void record_denied(retry_tokens& tokens, retry_urgency urgency, std::uint32_t stamp) {
+  if (!is_held_back(tokens, urgency, stamp)) {
+    tokens.denied.store((std::uint64_t{stamp} << 32U) | urgency, relaxed);
+  }
+}
+
 retry_decision deny(retry_decision::reason why) {
   return {false, false, {}, why};
 }
@@ -147,24 +229,26 @@
 
 void earn_retry(retry_tokens& tokens, double ratio, support::time_point now) {
   decay(tokens, now);
-  const auto earned = static_cast<std::int32_t>(ratio * tokens_per_retry);
-  auto before = tokens.thousandths.load(relaxed);
-  while (before < max_tokens) {
-    const auto after = std::min(max_tokens, before + earned);
-    if (tokens.thousandths.compare_exchange_weak(before, after, relaxed)) {
-      return;
-    }
-  }
+  const auto earned = static_cast<std::uint32_t>(ratio * tokens_per_retry);
+  record_earned(tokens, earned, milliseconds_of(now) / milliseconds_per_second);
+  tokens.earned_since_refill.fetch_add(earned, relaxed);
+  add_tokens(tokens, static_cast<std::int32_t>(earned), tokens.maximum.load(relaxed));
 }
 
-bool take_retry(retry_tokens& tokens, support::time_point now) {
+bool take_retry(retry_tokens& tokens, support::time_point now, retry_urgency urgency) {
   decay(tokens, now);
+  refill(tokens, now);
+  const auto stamp = milliseconds_of(now);
+  if (is_held_back(tokens, urgency, stamp)) {
+    return false;
+  }
   auto before = tokens.thousandths.load(relaxed);
   while (before >= tokens_per_retry) {
     if (tokens.thousandths.compare_exchange_weak(before, before - tokens_per_retry, relaxed)) {
       return true;
     }
   }
+  record_denied(tokens, urgency, stamp);
   return false;
 }
 
@@ -205,7 +289,7 @@
   if (!spend_attempt(budget)) {
     return deny(reason::no_budget);
   }
-  if (!take_retry(tokens, now)) {
+  if (!take_retry(tokens, now, failed.urgency)) {
     restore_attempt(budget);
     return deny(reason::no_token);
   }
--- a/unittests/decide/retry_test.cpp
+++ b/unittests/decide/retry_test.cpp
@@ -126,3 +126,20 @@
     CHECK(held_attempts(budget) == held - lent);
   }
 }
+
+TEST_CASE("a retry refused for lack of tokens holds back less urgent ones for a time") {
+  retry_tokens tokens;
+  const support::time_point now(std::chrono::seconds(100));
+  const auto important = urgency_of(1, false);
+  const auto other = urgency_of(5, true);
+  CHECK(important < other);
+  CHECK(urgency_of(1, true) < important);
+  REQUIRE(take_retry(tokens, now, important));
+  REQUIRE_FALSE(take_retry(tokens, now, important));
+  for (int call = 0; call < 100; ++call) {
+    earn_retry(tokens, 0.1, now);
+  }
+  CHECK_FALSE(take_retry(tokens, now, other));
+  CHECK(take_retry(tokens, now, important));
+  CHECK(take_retry(tokens, now + denial_memory, other));
+}
