Widen the product of times in the refill of retry tokens

Windows and the time for which tokens are saved are stated in milliseconds, so that both products have a name or a wide type. The values are as before.

--- a/lib/decide/retry.cpp
+++ b/lib/decide/retry.cpp
@@ -9,10 +9,10 @@
 using support::result_code;
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr std::int32_t tokens_per_retry = 1000;
-// Unused tokens accumulate up to this number of retries, or up to what half a second earns at the
+// Unused tokens accumulate up to this number of retries, or up to what this time earns at the
 // highest recent rate.
 constexpr std::int32_t max_tokens = 10 * tokens_per_retry;
-constexpr std::uint32_t max_saved_divisor = 2;
+constexpr std::uint32_t max_saved_ms = 500;
 // Half-life of tokens beyond one retry.
 constexpr std::uint32_t half_life_ms = 1000;
 constexpr std::uint32_t milliseconds_per_second = 1000;
@@ -22,6 +22,7 @@
 // Length of the windows over which the rate of earning is determined. The latest window and the one
 // that ends half a window earlier count.
 constexpr std::uint32_t window_s = 10;
+constexpr std::uint32_t window_ms = window_s * milliseconds_per_second;
 constexpr support::milliseconds backoff_base{10};
 constexpr support::milliseconds max_backoff{500};
 constexpr std::uint32_t max_exponent = 10;
@@ -126,11 +127,10 @@
   const auto second = stamp / milliseconds_per_second;
   const auto highest =
       std::max(earned_in_window(tokens, second), earned_in_window(tokens, second - window_s / 2));
-  const auto due =
-      std::uint64_t{highest} * std::min(age, max_refill_ms) / (window_s * milliseconds_per_second);
+  const auto due = std::uint64_t{highest} * std::min(age, max_refill_ms) / window_ms;
   const auto earned = tokens.earned_since_refill.exchange(0, relaxed);
-  const auto maximum = static_cast<std::int32_t>(
-      std::max<std::uint32_t>(max_tokens, highest / window_s / max_saved_divisor));
+  const auto saved = std::uint64_t{highest} * max_saved_ms / window_ms;
+  const auto maximum = static_cast<std::int32_t>(std::max<std::uint64_t>(max_tokens, saved));
   tokens.maximum.store(maximum, relaxed);
   if (due > earned) {
     add_tokens(tokens, static_cast<std::int32_t>(due - earned), maximum);
