Do not run a call of a running request again after it has run and failed

Cause: calls of backend servers have attempts to spend since spare attempts are lent, and those that had run and failed were repeated too. The rule that only the hop next to the failure retries does not help, since the platform declares no calls. Ruled out: the calls themselves, which count among the requests.

The new test fails before.

--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -35,6 +35,11 @@
 // Maximum rate of log lines about individual calls, per process.
 constexpr std::uint32_t call_log_lines_per_second = 20;
 
+// Whether another run for a call of a backend server may repeat calls that nothing declares.
+bool repeats_undeclared_calls(const entry_request& request) {
+  return request.from_backend && request.lends_attempts && !request.destination_calls_others;
+}
+
 } // namespace
 
 struct entry_calls::implementation {
@@ -340,8 +345,10 @@
     failed.code = reply.code;
     // A failure of a server that calls others may originate from one of them; the retry is then
     // left to the hop next to the failure.
+    const bool may_originate_below =
+        reply.outcome == wire::outcome::failed && call->request.destination_calls_others;
     failed.next_to_failure =
-        reply.outcome != wire::outcome::failed || !call->request.destination_calls_others;
+        !may_originate_below && (failed.not_run || !repeats_undeclared_calls(call->request));
     failed.overloaded_below = reply.overloaded_below;
     failed.idempotent = call->request.call.idempotent;
     failed.tried = static_cast<std::uint32_t>(call->tried.size());
--- a/unittests/platform/inner_call_test.cpp
+++ b/unittests/platform/inner_call_test.cpp
@@ -56,3 +56,26 @@
   CHECK(cluster.call("/a/x").status == 200);
   CHECK(refused == 1);
 }
+
+TEST_CASE("a call of a running request that has run and failed is not run again", "[.inner_call]") {
+  test_cluster cluster;
+  cluster.add_second_front();
+  cluster.report("ready", 1, 8);
+  call_front_for_each_request(cluster);
+  while (cluster.front.executed_requests().empty() ||
+         cluster.second_front.executed_requests().empty()) {
+    REQUIRE(cluster.call_until("/a/x", 200).status == 200);
+  }
+  int runs = 0;
+  const standin::request_handler fail = [&runs](const net::http_request& request,
+                                                const net::http_responder& respond) {
+    ++runs;
+    const auto id = *net::find_field(request.headers, "Request-Id");
+    respond({500, {{"Request-Id", id}, {"Server-Stamp", "i-front." + id}}, "", false});
+    return true;
+  };
+  cluster.front.set_handler(fail);
+  cluster.second_front.set_handler(fail);
+  CHECK(cluster.call("/a/x").status == 500);
+  CHECK(runs == 1);
+}
