--- a/include/acaciasill/decide/retry.h
+++ b/include/acaciasill/decide/retry.h
@@ -48,7 +48,7 @@
 
 // Takes out the attempts to lend to the next child call: all but one, so that most are available at
 // the hop next to the failure however deep it is, and the last one if no more is held. A call to a
-// service that makes no calls itself is lent nothing, since no hop below could use it.
+// service that is declared to make no calls needs none, since no hop below could use them.
 std::uint32_t lend_attempts(attempt_budget& budget);
 
 // Returns attempts that a child's reply reports as unused, at most the number lent, and returns the
