--- a/unittests/platform/inner_call_test.cpp
+++ b/unittests/platform/inner_call_test.cpp
@@ -26,6 +26,17 @@
       });
 }
 
+// Adds the second server of the first service, and waits until both have served a call.
+void start_with_two_fronts(test_cluster& cluster) {
+  cluster.add_second_front();
+  cluster.report("ready", 1, 8);
+  call_front_for_each_request(cluster);
+  while (cluster.front.executed_requests().empty() ||
+         cluster.second_front.executed_requests().empty()) {
+    REQUIRE(cluster.call_until("/a/x", 200).status == 200);
+  }
+}
+
 standin::request_handler refuse_first(int& refused, int count) {
   return [&refused, count](const net::http_request&, const net::http_responder& respond) {
     if (refused >= count) {
@@ -42,14 +53,7 @@
 TEST_CASE("a call of a running request that a server turns away is sent to another server",
           "[.inner_call]") {
   test_cluster cluster;
-  cluster.add_second_front();
-  cluster.report("ready", 1, 8);
-  call_front_for_each_request(cluster);
-  // Both servers of the first service are known once each has served a call.
-  while (cluster.front.executed_requests().empty() ||
-         cluster.second_front.executed_requests().empty()) {
-    REQUIRE(cluster.call_until("/a/x", 200).status == 200);
-  }
+  start_with_two_fronts(cluster);
   int refused = 0;
   cluster.front.set_handler(refuse_first(refused, 1));
   cluster.second_front.set_handler(refuse_first(refused, 1));
@@ -59,13 +63,7 @@
 
 TEST_CASE("a call of a running request that has run and failed is not run again", "[.inner_call]") {
   test_cluster cluster;
-  cluster.add_second_front();
-  cluster.report("ready", 1, 8);
-  call_front_for_each_request(cluster);
-  while (cluster.front.executed_requests().empty() ||
-         cluster.second_front.executed_requests().empty()) {
-    REQUIRE(cluster.call_until("/a/x", 200).status == 200);
-  }
+  start_with_two_fronts(cluster);
   int runs = 0;
   const standin::request_handler fail = [&runs](const net::http_request& request,
                                                 const net::http_responder& respond) {
