Identify callers by the keys of their organisations

Cause: the adapter did not read the organisations of the operator's configuration and put all callers into one.

Organisations have keys now, and a caller policy may require one; a route may be public. Findings, differences and `acaciactl show` print keys in a masked form only.

A request without a key on a route that is not public is served only as a call of the local backend server, for the organisation of the request that explains it. If nothing explains it, it gets 401, or 503 as long as the server may work on requests that this daemon does not know: after a start and after exchanges without an answer. Ruled out: a 401 in these cases, which would be untrue for calls. An unknown key gets 503 instead of 401 while a peer has a newer configuration in force.

--- a/cmake/acaciasill.cmake
+++ b/cmake/acaciasill.cmake
@@ -51,7 +51,7 @@
     endif()
   endforeach()
   add_test(NAME scale.control COMMAND control_tests "[scale]")
-  foreach(tag stated_rate stated_leaving crashing_request inner_call)
+  foreach(tag stated_rate stated_leaving crashing_request inner_call organisation_key)
     add_test(NAME unit.platform.${tag} COMMAND platform_tests "[.${tag}]")
     # The daemons of these tests listen at the same addresses and ports.
     set_tests_properties(unit.platform unit.platform.${tag} PROPERTIES
--- a/include/acaciasill/board/call_board.h
+++ b/include/acaciasill/board/call_board.h
@@ -70,6 +70,10 @@
 
   generation_watch generations;
 
+  // Time until which the local backend server may work on requests that this daemon no longer
+  // knows, because they ended without an answer or an earlier process of the daemon sent them.
+  std::atomic<support::duration::rep> unknown_work_until{0};
+
   // True if the daemon is leaving and refuses new work.
   std::atomic<bool> leaving{false};
   // Number of calls from callers and from peers that have not been answered yet.
--- a/include/acaciasill/board/views.h
+++ b/include/acaciasill/board/views.h
@@ -24,6 +24,8 @@
   std::vector<std::uint32_t> route_slots;
   // Slots by the index of the host route in the set.
   std::vector<std::uint32_t> host_route_slots;
+  // Longest timeout of the host routes.
+  support::milliseconds longest_timeout{0};
 };
 
 // Upstreams of one service to which this daemon sends calls.
--- a/include/acaciasill/daemon/entry_request.h
+++ b/include/acaciasill/daemon/entry_request.h
@@ -53,6 +53,13 @@
   std::uint8_t returning_rank = 0;
   // Time that an outside caller will still wait, as stated in its request.
   std::optional<support::milliseconds> caller_time_left;
+  // Whether the request carries no key although its route requires one, so that it is served only
+  // if the local backend server makes it.
+  bool needs_parent = false;
+  // Whether a call made on behalf of a running request belongs to that request's organisation.
+  bool inherits_organisation = false;
+  // Whether the request counts towards the rate limit of its organisation.
+  bool is_rate_limited = false;
   // Whether a call made on behalf of a running request takes that request's rank.
   bool inherits_rank = false;
   // Whether attempts of an idempotent call time out after a multiple of the expected service time.
@@ -73,18 +80,24 @@
   std::optional<support::milliseconds> deadline;
   // Request that the request states to be a call of.
   std::optional<wire::request_id> stated_parent;
+  // Key of the caller; nullopt if the request carries none.
+  std::optional<std::string_view> key;
 };
 
 // Parses a request that is matched by host and path, using the host routes of the configuration in
 // force. The target is forwarded unchanged. The deadline is that of the caller or the timeout of
 // the route, whichever is earlier. The request is not modified if an error is returned. Errors:
-// no_route, not_ready, unknown_organisation, deadline_exceeded.
+// no_route, not_ready, unauthenticated, unknown_organisation, deadline_exceeded.
 absl::StatusOr<entry_request> read_host_request(const board::configuration_view& view,
                                                 net::http_request& request,
                                                 const host_request_facts& facts,
                                                 support::time_point now,
                                                 support::random_source& random);
 
+// Assigns the request to the organisation.
+void set_organisation(const board::configuration_view& view, model::organisation_index organisation,
+                      entry_request& request);
+
 // Turns a parsed host request into a call of the local backend server for a running request.
 void mark_as_backend_call(entry_request& request, const wire::request_id& running);
 
--- a/include/acaciasill/decide/parent_calls.h
+++ b/include/acaciasill/decide/parent_calls.h
@@ -37,6 +37,8 @@
   std::atomic<bool> holds_finished_work{false};
   // Rank of the request's priority class, which its child calls inherit.
   std::atomic<std::uint8_t> rank{0};
+  // Hash of the name of the request's organisation, which its child calls inherit.
+  std::atomic<std::uint64_t> organisation{0};
   // Deadline of the request, as passed to the backend server.
   std::atomic<support::duration::rep> deadline{0};
   // Time at which the call started or its latest child call ended.
@@ -96,6 +98,8 @@
   std::uint8_t rank = 0;
   support::time_point deadline{};
   support::time_point started{};
+  // Hash of the name of the request's organisation.
+  std::uint64_t organisation = 0;
 
   bool operator==(const parent_facts&) const = default;
 };
@@ -108,6 +112,13 @@
 // Finds the running call of a request, for a child call that the backend server makes.
 std::optional<parent_ref> find_parent(const parent_table& table, const request_id& id);
 
+// Number of child calls in progress that a running call normally accounts for, since backend
+// servers make most of their calls one after the other.
+inline constexpr std::uint32_t max_usual_children = 2;
+
+// Largest number of child calls in progress that a running call may account for.
+inline constexpr std::uint32_t max_children = 16;
+
 // What is known of a request that may be a child call.
 struct child_facts {
   support::time_point deadline{};
@@ -115,6 +126,8 @@
   std::optional<request_id> previous;
   // Whether calls of this kind expire with the call that makes them.
   bool expires_with_parent = false;
+  // Largest number of child calls in progress that one running call accounts for.
+  std::uint32_t max_siblings = max_usual_children;
 
   bool operator==(const child_facts&) const = default;
 };
--- a/include/acaciasill/model/configuration.h
+++ b/include/acaciasill/model/configuration.h
@@ -27,6 +27,16 @@
   double guaranteed_share = 0.0;
   // Weight by which this organisation receives unused capacity of others.
   double weight = 1.0;
+  // Keys by which callers identify themselves as belonging to the organisation.
+  std::vector<std::string> keys;
+  // Priority classes of the organisation's requests and of those that callers send again after a
+  // refusal; empty to use those of the route.
+  std::string priority;
+  std::string returning_priority;
+  // Requests per second that are admitted over all instances together; 0 for no limit.
+  double rate_limit = 0.0;
+  // Requests that are admitted at once beyond the rate.
+  double burst = 0.0;
 
   bool operator==(const organisation&) const = default;
 };
@@ -137,6 +147,8 @@
   support::milliseconds target_latency{1000};
   // Largest number of upstreams to which one request may be sent.
   std::uint32_t attempts = 2;
+  // True if callers need no key even where the caller policy requires one.
+  bool is_public = false;
 
   bool operator==(const host_route&) const = default;
 };
@@ -147,6 +159,9 @@
   bool may_set_organisation = true;
   bool may_set_priority = false;
   bool may_set_retry_budget = false;
+  // True if host routes that are not public serve only callers with the key of an organisation, and
+  // calls of backend servers.
+  bool requires_key = false;
   // Organisation of callers that name none; if empty, such calls are refused.
   std::string default_organisation;
 
--- a/include/acaciasill/model/object_fields.h
+++ b/include/acaciasill/model/object_fields.h
@@ -33,6 +33,8 @@
 
 inline constexpr double min_weight = 0.001;
 inline constexpr double max_weight = 1000.0;
+// Requests per second, or requests at once.
+inline constexpr double max_rate_limit = 1e9;
 inline constexpr double max_retry_ratio = 1.0;
 inline constexpr std::int64_t max_attempts = 100;
 inline constexpr std::int64_t max_subset_size = 1000;
@@ -54,6 +56,11 @@
   visitor.text("name", object.name, presence::required);
   visitor.number("guaranteed_share", object.guaranteed_share, 0.0, 1.0);
   visitor.number("weight", object.weight, min_weight, max_weight);
+  visitor.text_list("keys", object.keys);
+  visitor.text("priority", object.priority);
+  visitor.text("returning_priority", object.returning_priority);
+  visitor.number("rate_limit", object.rate_limit, 0.0, max_rate_limit);
+  visitor.number("burst", object.burst, 0.0, max_rate_limit);
 }
 
 template <typename Visitor>
@@ -116,6 +123,7 @@
   visitor.time_span("timeout_ms", object.timeout, min_time_span, max_deadline);
   visitor.time_span("target_latency_ms", object.target_latency, min_time_span, max_deadline);
   visitor.integer("attempts", object.attempts, 1, max_attempts);
+  visitor.flag("is_public", object.is_public);
 }
 
 template <typename Visitor>
@@ -124,6 +132,7 @@
   visitor.flag("may_set_organisation", object.may_set_organisation);
   visitor.flag("may_set_priority", object.may_set_priority);
   visitor.flag("may_set_retry_budget", object.may_set_retry_budget);
+  visitor.flag("requires_key", object.requires_key);
   visitor.text("default_organisation", object.default_organisation);
 }
 
--- a/include/acaciasill/model/snapshot.h
+++ b/include/acaciasill/model/snapshot.h
@@ -5,10 +5,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "absl/status/statusor.h"
 #include "acaciasill/model/configuration.h"
+#include "acaciasill/model/key_index.h"
 #include "acaciasill/model/name_index.h"
 
 // A configuration set compiled for lookups on the request path.
@@ -43,6 +45,9 @@
   bool operator==(const compiled_route&) const = default;
 };
 
+// Returns a hash of an organisation's name, the same in every process.
+std::uint64_t hash_organisation(std::string_view name);
+
 // A service that receives part of a host route's requests.
 struct route_target {
   std::string service;
@@ -81,6 +86,8 @@
   support::milliseconds timeout{0};
   support::milliseconds target_latency{0};
   std::uint32_t attempts = 1;
+  // Whether callers need no key.
+  bool is_public = false;
 
   bool operator==(const compiled_host_route&) const = default;
 };
@@ -109,6 +116,14 @@
   std::string name;
   double guaranteed_share = 0.0;
   double weight = 1.0;
+  // Ranks of the organisation's requests and of those that callers send again after a refusal; if
+  // std::nullopt, the route determines them.
+  std::optional<std::uint8_t> rank;
+  std::optional<std::uint8_t> returning_rank;
+  // Requests per second over all instances together; 0 for no limit.
+  double rate_limit = 0.0;
+  // Requests admitted at once beyond the rate.
+  double burst = 0.0;
 
   bool operator==(const compiled_organisation&) const = default;
 };
@@ -139,6 +154,14 @@
   std::optional<service_index> find_service(std::string_view name) const;
   std::optional<organisation_index> find_organisation(std::string_view name) const;
 
+  // Returns the organisation whose name has the hash, as computed by hash_organisation.
+  std::optional<organisation_index> find_organisation_by_hash(std::uint64_t hash) const;
+
+  // Returns the organisation that has the key.
+  std::optional<organisation_index> find_key_owner(std::string_view key) const {
+    return keys_.find(key);
+  }
+
   // Returns the rank of the named priority class, or std::nullopt if there is none.
   std::optional<std::uint8_t> find_rank(std::string_view priority) const;
 
@@ -175,6 +198,8 @@
   std::vector<compiled_caller_policy> caller_policies_;
   // Sorted by host, then by path prefix.
   std::vector<compiled_host_route> host_routes_;
+  key_index keys_;
+  std::unordered_map<std::uint64_t, organisation_index> organisation_hashes_;
   name_index service_names_;
   name_index organisation_names_;
   name_index priority_names_;
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -73,7 +73,13 @@
     auto parsed = environment_.protocol->read_request(board_.configuration.read(guard), request,
                                                       call.home, now);
     if (!parsed.ok()) {
-      return parsed.status();
+      const auto code = support::code_of(parsed.status());
+      // A newer configuration may contain the key or the route.
+      const bool may_be_outdated = board_.generations.highest_seen.load(std::memory_order_relaxed) >
+                                   board_.generations.in_force.load(std::memory_order_relaxed);
+      return code == result_code::unauthenticated && may_be_outdated
+                 ? support::make_error(result_code::not_ready)
+                 : parsed.status();
     }
     call.request = *std::move(parsed);
     return absl::OkStatus();
@@ -87,6 +93,12 @@
     const auto& id = request.call.id;
     if (request.from_backend) {
       call->parent = decide::find_parent(board_.parents, id);
+    } else if (request.needs_parent) {
+      finish(*call, refusal_reply(code_without_parent(now), retry_after(*call)));
+      return;
+    }
+    if (call->parent && request.inherits_organisation) {
+      inherit_organisation(*call);
     }
     const bool has_completed_calls =
         call->parent && board_.parents.cells[call->parent->cell].holds_finished_work.load(
@@ -113,15 +125,44 @@
     send(call, now);
   }
 
+  // Returns why a request without a key is refused that no running request explains.
+  result_code code_without_parent(support::time_point now) const {
+    const bool may_be_call = now.time_since_epoch().count() <
+                                 board_.unknown_work_until.load(std::memory_order_relaxed) ||
+                             now < started_ + longest_timeout();
+    return may_be_call ? result_code::origin_unknown : result_code::unauthenticated;
+  }
+
+  support::milliseconds longest_timeout() const {
+    const board::rcu_read_guard guard;
+    return board_.configuration.read(guard).longest_timeout;
+  }
+
+  // Assigns a call of the local backend server to the organisation of the request that makes it.
+  void inherit_organisation(entry_call& call) {
+    const auto hash =
+        board_.parents.cells[call.parent->cell].organisation.load(std::memory_order_relaxed);
+    const board::rcu_read_guard guard;
+    const auto& view = board_.configuration.read(guard);
+    if (const auto organisation = view.snapshot.find_organisation_by_hash(hash)) {
+      set_organisation(view, *organisation, call.request);
+    }
+  }
+
   // Decides whether the local backend server makes the request, and for which running request.
   void recognise_backend_call(entry_call& call, support::time_point now) {
     auto& request = call.request;
     auto& history = threads_[call.home.index].histories[call.connection];
     auto& evidence = board_.call_evidence[request.threshold_subject - board::service_capacity];
-    const auto likely = decide::find_likely_parent(
-        board_.parents,
-        {request.caller_time_left ? now + *request.caller_time_left : request.deadline,
-         history.previous_parent, decide::expires_with_parent(evidence)});
+    decide::child_facts child;
+    child.deadline = request.caller_time_left ? now + *request.caller_time_left : request.deadline;
+    child.previous = history.previous_parent;
+    child.expires_with_parent = decide::expires_with_parent(evidence);
+    auto likely = decide::find_likely_parent(board_.parents, child);
+    if (!likely && request.needs_parent) {
+      child.max_siblings = decide::max_children;
+      likely = decide::find_likely_parent(board_.parents, child);
+    }
     decide::call_sighting sighting;
     sighting.is_explained = likely.has_value();
     sighting.is_on_used_connection = history.answered.has_value();
@@ -133,7 +174,7 @@
     std::optional<wire::request_id> parent;
     if (request.stated_parent && decide::find_parent(board_.parents, *request.stated_parent)) {
       parent = request.stated_parent;
-    } else if (likely && decide::is_called_by_backend(evidence)) {
+    } else if (likely && (request.needs_parent || decide::is_called_by_backend(evidence))) {
       parent = likely->id;
     }
     history.previous_parent = parent;
@@ -495,6 +536,7 @@
 
   entry_environment environment_;
   board::call_board& board_;
+  const support::time_point started_ = support::monotonic_now();
   std::vector<thread_calls> threads_;
   support::log_rate_limiter call_log_budget_{call_log_lines_per_second};
 };
--- a/lib/daemon/entry_request.cpp
+++ b/lib/daemon/entry_request.cpp
@@ -112,6 +112,29 @@
       facts.route ? board::service_capacity + view.route_slots[*facts.route] : result.service_slot;
 }
 
+// Determines the organisation of a host request and whether the local backend server may have made
+// it. Calls of backend servers carry no key.
+absl::Status find_caller(const board::configuration_view& view,
+                         const model::compiled_caller_policy& policy,
+                         std::optional<std::string_view> key, bool is_public,
+                         entry_request& result) {
+  auto organisation = *policy.default_organisation;
+  if (!policy.policy.requires_key) {
+    result.may_be_backend_call = true;
+  } else if (!key) {
+    result.may_be_backend_call = true;
+    result.needs_parent = !is_public;
+    result.inherits_organisation = true;
+  } else if (const auto owner = view.snapshot.find_key_owner(*key)) {
+    organisation = *owner;
+    result.is_rate_limited = true;
+  } else if (!is_public) {
+    return make_error(result_code::unauthenticated);
+  }
+  set_organisation(view, organisation, result);
+  return absl::OkStatus();
+}
+
 // Selects a target service at random, in proportion to the weights.
 model::service_index choose_target(const model::compiled_host_route& route,
                                    support::random_source& random) {
@@ -165,11 +188,14 @@
   auto& call = result.call;
   call.id = facts.id;
   call.service = compiled.name;
-  call.organisation = policy->policy.default_organisation;
   call.method = request.method;
   call.rank = route->rank;
   call.idempotent = route->idempotent;
-  result.may_be_backend_call = true;
+  result.returning_rank = route->returning_rank;
+  if (const auto status = find_caller(view, *policy, facts.key, route->is_public, result);
+      !status.ok()) {
+    return status;
+  }
   result.stated_parent = facts.stated_parent;
   result.route = view.snapshot.set().host_routes[route->index].name;
   call.kind = call_kind(result.route);
@@ -179,7 +205,6 @@
   result.bounds_attempt_time = false;
   result.inherits_rank = true;
   result.deadline = now + std::min(facts.deadline.value_or(route->timeout), route->timeout);
-  result.returning_rank = route->returning_rank;
   result.caller_time_left = facts.deadline;
   result.destination_calls_others = !compiled.calls.empty();
   // Host routes may lead to services whose calls are not declared.
@@ -188,7 +213,6 @@
   if (result.deadline <= now) {
     return make_error(result_code::deadline_exceeded);
   }
-  result.organisation_slot = view.organisation_slots[*policy->default_organisation];
   result.service_slot = view.service_slots[service];
   result.threshold_subject = board::service_capacity + view.host_route_slots[route->index];
   call.target = std::move(request.target);
@@ -197,6 +221,15 @@
   return result;
 }
 
+void set_organisation(const board::configuration_view& view, model::organisation_index organisation,
+                      entry_request& request) {
+  const auto& compiled = view.snapshot.organisation(organisation);
+  request.call.organisation = compiled.name;
+  request.organisation_slot = view.organisation_slots[organisation];
+  request.call.rank = compiled.rank.value_or(request.call.rank);
+  request.returning_rank = compiled.returning_rank.value_or(request.returning_rank);
+}
+
 void mark_as_backend_call(entry_request& request, const wire::request_id& running) {
   request.from_backend = true;
   request.call.id = running;
--- a/lib/daemon/publishers.cpp
+++ b/lib/daemon/publishers.cpp
@@ -104,6 +104,7 @@
   }
   for (const auto& route : view->snapshot.set().host_routes) {
     view->host_route_slots.push_back(board.routes.slot_of(route.name));
+    view->longest_timeout = std::max(view->longest_timeout, route.timeout);
   }
   const auto generation = view->snapshot.generation();
   board.configuration.publish(std::move(view));
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -249,7 +249,11 @@
                                   time_kind::queueing, call.started - call.arrived);
     call.parent = decide::open_parent(board_.parents, call.facts.id,
                                       {call.request.lent_attempts, call.request.holds_finished_work,
-                                       call.request.rank, call.facts.deadline, call.started});
+                                       call.request.rank, call.facts.deadline, call.started,
+                                       model::hash_organisation(call.request.organisation)});
+    if (!call.parent) {
+      record_unknown_work(call);
+    }
     auto request = make_exchange(home, call);
     call.exchange = home.backend->send(std::move(request),
                                        [this, &home, id = call.id](net::client_response response) {
@@ -257,6 +261,14 @@
                                        });
   }
 
+  // Records that the backend server may work on a call that this daemon does not know.
+  void record_unknown_work(const running_call& call) {
+    const auto until = call.facts.deadline.time_since_epoch().count();
+    auto before = board_.unknown_work_until.load(std::memory_order_relaxed);
+    while (before < until && !board_.unknown_work_until.compare_exchange_weak(before, until)) {
+    }
+  }
+
   net::client_request make_exchange(request_thread& home, running_call& call) {
     const board::rcu_read_guard guard;
     const auto& target = board_.backend.read(guard);
@@ -274,6 +286,10 @@
     auto& call = *found->second;
     environment_.observer.on_exchange(response.end != net::exchange_end::not_sent);
     observe_content(call.request, response.end);
+    if (response.end != net::exchange_end::answered &&
+        response.end != net::exchange_end::not_sent) {
+      record_unknown_work(call);
+    }
     auto reply = environment_.protocol->interpret_response(call.request, std::move(response));
     if (reply.stated_rate && decide::record_stated_rate(board_.gate.rate, *reply.stated_rate,
                                                         support::monotonic_now())) {
--- a/lib/decide/parent_calls.cpp
+++ b/lib/decide/parent_calls.cpp
@@ -11,9 +11,6 @@
 constexpr auto relaxed = std::memory_order_relaxed;
 // Value of `running` while a cell is being initialised.
 constexpr std::uint32_t initialising = ~std::uint32_t{0};
-// Number of child calls in progress that a running call accounts for. Backend servers make most of
-// their calls one after the other.
-constexpr std::uint32_t max_children_per_call = 2;
 // Difference between the deadlines of a call and of its child call that counts as equal: the child
 // states whole milliseconds, and its transfer takes time.
 constexpr support::milliseconds deadline_precision{2};
@@ -93,6 +90,7 @@
   cell.overloaded_below.store(false, relaxed);
   cell.holds_finished_work.store(facts.holds_finished_work, relaxed);
   cell.rank.store(facts.rank, relaxed);
+  cell.organisation.store(facts.organisation, relaxed);
   cell.deadline.store(facts.deadline.time_since_epoch().count(), relaxed);
   cell.last_active.store(facts.started.time_since_epoch().count(), relaxed);
   cell.children.store(0, relaxed);
@@ -164,7 +162,7 @@
     result.has_deadline_of_running = result.has_deadline_of_running || has_same_deadline;
     result.has_shifted_deadline =
         result.has_shifted_deadline || is_near(difference - deadline_shift);
-    if (cell.children.load(relaxed) >= max_children_per_call * running) {
+    if (cell.children.load(relaxed) >= child.max_siblings * running) {
       continue;
     }
     const request_id id{cell.high.load(relaxed), cell.low.load(relaxed)};
--- a/lib/model/set_json.cpp
+++ b/lib/model/set_json.cpp
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "acaciasill/model/configuration_set.h"
+#include "acaciasill/model/key_index.h"
 
 namespace acaciasill::model {
 namespace {
@@ -14,7 +15,7 @@
 using json = nlohmann::ordered_json;
 
 // Format version of the canonical JSON. Increase it when a field is added or changed.
-constexpr int set_format = 2;
+constexpr int set_format = 3;
 constexpr std::string_view format_key = "format";
 
 // Writes the fields of one object to JSON in the order of visit_fields.
@@ -185,14 +186,27 @@
   return found == objects.end() || found->name != name ? nullptr : &*found;
 }
 
+// Returns the value of a field for output.
+std::string shown_value(const std::string& field, const json& value) {
+  if (field != "keys") {
+    return value.dump();
+  }
+  json masked = json::array();
+  for (const auto& key : value) {
+    masked.push_back(masked_key(key.get<std::string>()));
+  }
+  return masked.dump();
+}
+
 std::vector<field_change> changed_fields(const json& before, const json& after) {
   std::vector<field_change> changes;
   const json& keys = after.empty() ? before : after;
   for (const auto& [key, ignored] : keys.items()) {
-    const std::string old_value = before.contains(key) ? before.at(key).dump() : "";
-    const std::string new_value = after.contains(key) ? after.at(key).dump() : "";
-    if (old_value != new_value) {
-      changes.push_back({key, old_value, new_value});
+    const bool has_old = before.contains(key);
+    const bool has_new = after.contains(key);
+    if (has_old != has_new || before.at(key) != after.at(key)) {
+      changes.push_back({key, has_old ? shown_value(key, before.at(key)) : "",
+                         has_new ? shown_value(key, after.at(key)) : ""});
     }
   }
   return changes;
--- a/lib/model/snapshot.cpp
+++ b/lib/model/snapshot.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "acaciasill/model/validation.h"
+#include "acaciasill/support/hash.h"
 
 namespace acaciasill::model {
 namespace {
@@ -100,6 +101,7 @@
   compiled.timeout = each.timeout;
   compiled.target_latency = each.target_latency;
   compiled.attempts = each.attempts;
+  compiled.is_public = each.is_public;
   for (const auto& text : each.targets) {
     if (const auto target = parse_target(text); target && target->weight > 0) {
       compiled.targets.push_back({find_existing(services, target->service), target->weight});
@@ -118,6 +120,15 @@
   return organisation_names_.find(name);
 }
 
+std::uint64_t hash_organisation(std::string_view name) {
+  return support::hash64(name);
+}
+
+std::optional<organisation_index> snapshot::find_organisation_by_hash(std::uint64_t hash) const {
+  const auto found = organisation_hashes_.find(hash);
+  return found == organisation_hashes_.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::optional<std::uint8_t> snapshot::find_rank(std::string_view priority) const {
   if (const auto index = priority_names_.find(priority)) {
     return set_.priorities[*index].rank;
@@ -221,8 +232,19 @@
     result.services_[i].reachable = find_reachable(result.services_, i);
   }
   for (const auto& each : set.organisations) {
-    result.organisations_.push_back({each.name, each.guaranteed_share, each.weight});
+    compiled_organisation compiled{each.name,    each.guaranteed_share, each.weight, std::nullopt,
+                                   std::nullopt, each.rate_limit,       each.burst};
+    if (!each.priority.empty()) {
+      compiled.rank = rank_of(each.priority);
+      compiled.returning_rank =
+          each.returning_priority.empty() ? compiled.rank : rank_of(each.returning_priority);
+    }
+    result.organisation_hashes_.emplace(
+        hash_organisation(each.name),
+        static_cast<organisation_index>(result.organisations_.size()));
+    result.organisations_.push_back(std::move(compiled));
   }
+  result.keys_ = key_index(set.organisations);
   for (const auto& each : set.caller_policies) {
     result.caller_policies_.push_back(
         {each, result.organisation_names_.find(each.default_organisation)});
--- a/lib/model/validation.cpp
+++ b/lib/model/validation.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "acaciasill/model/key_index.h"
 #include "acaciasill/model/snapshot.h"
 #include "call_graph.h"
 #include "finding_collector.h"
@@ -103,6 +104,15 @@
                    each.returning_priority);
     }
   }
+  for (const auto& each : set.organisations) {
+    if (!each.priority.empty()) {
+      require_name(priorities, object_kind::organisation, each.name, "priority", each.priority);
+    }
+    if (!each.returning_priority.empty()) {
+      require_name(priorities, object_kind::organisation, each.name, "returning_priority",
+                   each.returning_priority);
+    }
+  }
   for (const auto& each : set.caller_policies) {
     if (!each.default_organisation.empty()) {
       require_name(organisations, object_kind::caller_policy, each.name, "default_organisation",
@@ -136,6 +146,29 @@
   }
 }
 
+// Checks the keys, which findings show in their masked form only.
+void check_keys(const configuration& set, finding_collector& collector) {
+  std::map<std::string_view, std::string_view> owners;
+  for (const auto& each : set.organisations) {
+    for (const auto& key : each.keys) {
+      if (!is_valid_key(key)) {
+        collector.add(object_kind::organisation, each.name, "keys", result_code::out_of_range,
+                      absl::StrCat(masked_key(key), ": 1 to ", max_key_size,
+                                   " printable ASCII characters without spaces are expected"));
+      }
+      if (const auto [owner, is_new] = owners.emplace(key, each.name); !is_new) {
+        collector.add(
+            object_kind::organisation, each.name, "keys", result_code::key_in_use,
+            absl::StrCat(masked_key(key), " is already a key of ", std::string(owner->second)));
+      }
+    }
+    if (!each.returning_priority.empty() && each.priority.empty()) {
+      collector.add(object_kind::organisation, each.name, "returning_priority",
+                    result_code::missing_key, "priority is not set");
+    }
+  }
+}
+
 // Checks that a service accepts at least as many connections as it has slots, and that each
 // non-zero guaranteed share amounts to at least one slot of the service in a data centre.
 void check_slots(const configuration& set, finding_collector& collector) {
@@ -179,6 +212,7 @@
   check_references(set, collector);
   check_ranks(set, collector);
   check_shares(set, collector);
+  check_keys(set, collector);
   check_slots(set, collector);
   check_limits(set, collector);
   check_call_graph(set, collector);
--- a/tools/acaciactl/history_commands.cpp
+++ b/tools/acaciactl/history_commands.cpp
@@ -72,10 +72,11 @@
     return fail(support::make_error(support::result_code::platform_not_found,
                                     "no configuration has been published"));
   }
-  const auto set = fetch_set(session, *head);
+  auto set = fetch_set(session, *head);
   if (!set.ok()) {
     return fail(set.status());
   }
+  model::mask_keys(*set);
   if (options.output == output_form::json) {
     print_json(std::cout, {{"head", to_json(*head)}, {"set", json::parse(model::serialise(*set))}});
     return support::exit_success;
--- a/unittests/model/set_json_test.cpp
+++ b/unittests/model/set_json_test.cpp
@@ -93,13 +93,13 @@
     other.replace(other.find(from), from.size(), to);
     return code_of(parse_set(other).status());
   };
-  CHECK(changed("\"format\":2", "\"format\":3") == result_code::bad_yaml);
+  CHECK(changed("\"format\":3", "\"format\":4") == result_code::bad_yaml);
   CHECK(changed("\"slots\":100", "\"slots\":0") == result_code::out_of_range);
   CHECK(changed("\"slots\":100", "\"slots\":18446744073709551615") == result_code::out_of_range);
   CHECK(changed("\"slots\":100", "\"slots\":\"x\"") == result_code::wrong_type);
   CHECK(changed("\"slots\":100,", "") == result_code::missing_key);
   CHECK(changed("\"slots\":100", "\"slots\":100,\"more\":1") == result_code::unknown_key);
-  CHECK(changed("\"format\":2", "\"format\":2,\"more\":1") == result_code::unknown_key);
+  CHECK(changed("\"format\":3", "\"format\":3,\"more\":1") == result_code::unknown_key);
 }
 
 TEST_CASE("the difference of two sets lists changed objects and fields") {
--- a/unittests/platform/cluster_fixture.h
+++ b/unittests/platform/cluster_fixture.h
@@ -135,7 +135,7 @@
     result.daemon.data_centre = "dc";
     result.daemon.region = "r";
     result.platform_service = service;
-    result.daemon.service = encode_service_name(service);
+    result.daemon.service = encode_name(service);
     result.daemon.peer_listen = at(0);
     result.daemon.metrics_listen = at(1);
     result.daemon.callers_listen = at(2);
--- a/unittests/platform/configuration_row_test.cpp
+++ b/unittests/platform/configuration_row_test.cpp
@@ -54,9 +54,9 @@
 }
 
 TEST_CASE("invalid service names are encoded and stay distinct") {
-  CHECK(platform::encode_service_name("huvo11a") == "huvo11a");
-  CHECK(platform::encode_service_name("A b") != platform::encode_service_name("A_b"));
-  CHECK(platform::encode_service_name(" ") != platform::encode_service_name("x20"));
-  CHECK(platform::encode_service_name("x20") != platform::encode_service_name("x7820"));
-  CHECK(platform::encode_service_name("x ") != platform::encode_service_name("xx20"));
+  CHECK(platform::encode_name("huvo11a") == "huvo11a");
+  CHECK(platform::encode_name("A b") != platform::encode_name("A_b"));
+  CHECK(platform::encode_name(" ") != platform::encode_name("x20"));
+  CHECK(platform::encode_name("x20") != platform::encode_name("x7820"));
+  CHECK(platform::encode_name("x ") != platform::encode_name("xx20"));
 }
--- a/unittests/platform/settings_test.cpp
+++ b/unittests/platform/settings_test.cpp
@@ -28,6 +28,6 @@
     std::remove(path.c_str());
     REQUIRE(findings.empty());
     CHECK(settings.platform_service == service);
-    CHECK(settings.daemon.service == encode_service_name(service));
+    CHECK(settings.daemon.service == encode_name(service));
   }
 }
