Limit organisations over all instances by permits of coordinators

Besides, the priority of an organisation was not read.

Three ways were considered: equal parts of the limit at each daemon (a small organisation has a limit of a few requests a second and 84 daemons, so that a part is less than one request), parts by observed demand, handed out for a time (demand of a small organisation at one daemon cannot be observed), and permits on demand, which stands. In each data centre one daemon, chosen by rendezvous hashing, holds the data centre's part of the limit as a bucket; the others ask it over the links that exist, with all waiting requests in one message. Coordinators of different data centres transfer permits. A permit is in one place at a time, so that no agreement is needed. A daemon that takes over starts without the permits accrued before; one that reaches no other daemon uses 1/20 of a daemon's part. A request that has not run gives its permit back. What is refused gets 429 with the time at which to come back.

The limit applied admits as much in each window as the platform's measure allows, less three fifths of its tolerance. Ranks: the organisation's priority first, then the route's.

--- a/include/acaciasill/board/call_board.h
+++ b/include/acaciasill/board/call_board.h
@@ -15,6 +15,7 @@
 #include "acaciasill/decide/entry_thresholds.h"
 #include "acaciasill/decide/gate.h"
 #include "acaciasill/decide/parent_calls.h"
+#include "acaciasill/decide/permits.h"
 #include "acaciasill/decide/retry.h"
 #include "acaciasill/decide/retry_advice.h"
 #include "acaciasill/decide/returning.h"
@@ -29,6 +30,9 @@
 inline constexpr std::uint32_t service_capacity = 1024;
 inline constexpr std::uint32_t route_capacity = 1024;
 
+// Maximum number of organisations with rate limits of their own; others share the last permits.
+inline constexpr std::uint32_t limit_capacity = 65536;
+
 // Number of subjects of learned thresholds: the services come first, then the routes.
 inline constexpr std::uint32_t subject_capacity = service_capacity + route_capacity;
 
@@ -44,12 +48,14 @@
   slot_registry organisations{organisation_capacity};
   slot_registry services{service_capacity};
   slot_registry routes{route_capacity};
+  slot_registry limited_organisations{limit_capacity};
 
   rcu_cell<configuration_view> configuration;
   rcu_cell<routing_view> routing;
   rcu_cell<decide::gate_view> admission;
   rcu_cell<backend_target> backend;
   rcu_cell<decide::crash_view> crashes;
+  rcu_cell<decide::coordinator_view> coordinators;
 
   decide::gate gate;
   decide::entry_thresholds thresholds;
@@ -68,6 +74,12 @@
   // time.
   std::vector<decide::caller_excess> entry_excess;
 
+  // Permits that this daemon holds as a coordinator, by the slot of the organisation.
+  std::vector<decide::permit_bucket> permit_buckets;
+
+  // Time of the last message from another daemon.
+  std::atomic<support::duration::rep> last_peer_contact{0};
+
   generation_watch generations;
 
   // Time until which the local backend server may work on requests that this daemon no longer
--- a/include/acaciasill/board/views.h
+++ b/include/acaciasill/board/views.h
@@ -2,15 +2,28 @@
 #define ACACIASILL_BOARD_VIEWS_H
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "acaciasill/decide/permits.h"
 #include "acaciasill/decide/routing.h"
 #include "acaciasill/model/snapshot.h"
 
 // Immutable views that controllers publish and request threads read.
 namespace acaciasill::board {
 
+// An organisation with a rate limit.
+struct limited_organisation {
+  // Slot of its permits.
+  std::uint32_t slot = 0;
+  // Hash of its name, by which daemons identify it in messages.
+  std::uint64_t name_hash = 0;
+  decide::organisation_limit limit;
+
+  bool operator==(const limited_organisation&) const = default;
+};
+
 // Configuration in force, with the stable slots of its names.
 struct configuration_view {
   // False until a first configuration is in force.
@@ -24,6 +37,10 @@
   std::vector<std::uint32_t> route_slots;
   // Slots by the index of the host route in the set.
   std::vector<std::uint32_t> host_route_slots;
+  // Rate limits by the snapshot's index of the organisation; nullopt for those without one.
+  std::vector<std::optional<limited_organisation>> limits;
+  // Whether the policy for outside callers requires a key.
+  bool requires_key = false;
   // Longest timeout of the host routes.
   support::milliseconds longest_timeout{0};
 };
--- a/include/acaciasill/daemon/call_plane.h
+++ b/include/acaciasill/daemon/call_plane.h
@@ -29,6 +29,7 @@
 
 class call_metrics;
 class entry_calls;
+class permit_service;
 struct key_claims;
 struct request_thread;
 
@@ -98,6 +99,7 @@
   std::vector<peer_call_table> peer_calls_;
   std::unique_ptr<net::peer_listener> listener_;
   std::unique_ptr<net::peer_pool> peers_;
+  std::unique_ptr<permit_service> permits_;
   std::unique_ptr<upstream_calls> upstream_;
   std::unique_ptr<entry_calls> entry_;
   std::vector<std::unique_ptr<net::http_server>> servers_;
--- a/include/acaciasill/daemon/entry_calls.h
+++ b/include/acaciasill/daemon/entry_calls.h
@@ -22,6 +22,7 @@
 
 class call_metrics;
 struct edge_protocol;
+class permit_service;
 class upstream_calls;
 struct request_thread;
 
@@ -37,6 +38,7 @@
   // handled in process.
   std::string own_call_address;
   const edge_protocol* protocol = nullptr;
+  permit_service* permits = nullptr;
 };
 
 // Path prefix of all calls; the service name follows.
--- a/include/acaciasill/daemon/entry_request.h
+++ b/include/acaciasill/daemon/entry_request.h
@@ -58,8 +58,8 @@
   bool needs_parent = false;
   // Whether a call made on behalf of a running request belongs to that request's organisation.
   bool inherits_organisation = false;
-  // Whether the request counts towards the rate limit of its organisation.
-  bool is_rate_limited = false;
+  // Organisation to whose rate limit the request counts; nullopt if there is none.
+  std::optional<board::limited_organisation> limited;
   // Whether a call made on behalf of a running request takes that request's rank.
   bool inherits_rank = false;
   // Whether attempts of an idempotent call time out after a multiple of the expected service time.
--- a/include/acaciasill/daemon/publishers.h
+++ b/include/acaciasill/daemon/publishers.h
@@ -49,7 +49,12 @@
   std::unordered_map<std::uint64_t, known_load> loads;
 };
 
-// Publishes routes to the given members, using the configuration's subset sizes and caps.
+// Publishes which members are coordinators of rate limits.
+void publish_coordinators(board::call_board& board, const std::string& own_data_centre,
+                          const control::cluster_view& view);
+
+// Publishes routes to the given members, using the configuration's subset sizes and caps, and the
+// coordinators of rate limits.
 void publish_routing(board::call_board& board, routing_publisher& publisher,
                      const control::cluster_view& view, support::time_point now);
 
--- a/include/acaciasill/model/configuration.h
+++ b/include/acaciasill/model/configuration.h
@@ -19,6 +19,9 @@
   bool operator==(const data_centre&) const = default;
 };
 
+// Largest rank of a priority class.
+inline constexpr std::uint8_t max_priority_rank = 7;
+
 // A party whose calls are served.
 struct organisation {
   std::string name;
@@ -29,10 +32,8 @@
   double weight = 1.0;
   // Keys by which callers identify themselves as belonging to the organisation.
   std::vector<std::string> keys;
-  // Priority classes of the organisation's requests and of those that callers send again after a
-  // refusal; empty to use those of the route.
-  std::string priority;
-  std::string returning_priority;
+  // Added to the ranks of the organisation's requests, up to max_priority_rank.
+  std::uint8_t rank_offset = 0;
   // Requests per second that are admitted over all instances together; 0 for no limit.
   double rate_limit = 0.0;
   // Requests that are admitted at once beyond the rate.
@@ -49,9 +50,6 @@
   bool operator==(const priority_class&) const = default;
 };
 
-// Largest rank of a priority class.
-inline constexpr std::uint8_t max_priority_rank = 7;
-
 // Overload and routing parameters that one or more services use.
 struct limits {
   std::string name;
--- a/include/acaciasill/model/snapshot.h
+++ b/include/acaciasill/model/snapshot.h
@@ -116,10 +116,8 @@
   std::string name;
   double guaranteed_share = 0.0;
   double weight = 1.0;
-  // Ranks of the organisation's requests and of those that callers send again after a refusal; if
-  // std::nullopt, the route determines them.
-  std::optional<std::uint8_t> rank;
-  std::optional<std::uint8_t> returning_rank;
+  // Added to the ranks of the organisation's requests.
+  std::uint8_t rank_offset = 0;
   // Requests per second over all instances together; 0 for no limit.
   double rate_limit = 0.0;
   // Requests admitted at once beyond the rate.
--- a/lib/daemon/call_plane.cpp
+++ b/lib/daemon/call_plane.cpp
@@ -13,6 +13,9 @@
 #include "acaciasill/support/log.h"
 #include "acaciasill/support/result_code.h"
 
+#include "permit_messages.h"
+#include "permit_service.h"
+
 namespace acaciasill::daemon {
 namespace {
 
@@ -85,9 +88,10 @@
   peer_calls_.resize(threads_.size());
   upstream_ = std::make_unique<upstream_calls>(upstream_environment{
       &board_, threads(), &metrics_, claims, settings_.mode, &protocol_, std::move(observer)});
+  permits_ = make_permit_service(board_, *peers_, threads_.size(), call_address_);
   entry_ = std::make_unique<entry_calls>(
       entry_environment{&board_, threads(), &metrics_, peers_.get(), upstream_.get(),
-                        settings_.mode, call_address_, &protocol_});
+                        settings_.mode, call_address_, &protocol_, permits_.get()});
   upstream_->start();
 }
 
@@ -174,6 +178,12 @@
 void call_plane::on_peer_call(const net::call_key& key, wire::call_request request,
                               net::call_responder respond) {
   auto& home = this_thread();
+  board_.last_peer_contact.store(support::monotonic_now().time_since_epoch().count(),
+                                 std::memory_order_relaxed);
+  if (is_permit_message(request)) {
+    serve_permit_message(*permits_, home.index, request, respond);
+    return;
+  }
   auto& calls = peer_calls_[home.index];
   // The reply may be delivered before serve returns; the call is then not recorded.
   auto replied = std::make_shared<bool>(false);
--- a/lib/daemon/entry_call.h
+++ b/lib/daemon/entry_call.h
@@ -55,6 +55,8 @@
   std::uint32_t subset_size = 0;
   attempt current;
   std::optional<asio::steady_timer> retry_timer;
+  // Whether the call holds a permit of its organisation.
+  bool has_permit = false;
   bool ended = false;
 };
 
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -11,6 +11,7 @@
 #include "crash_monitor.h"
 #include "entry_answer.h"
 #include "entry_call.h"
+#include "permit_service.h"
 
 #include "acaciasill/board/call_board.h"
 #include "acaciasill/daemon/call_metrics.h"
@@ -121,6 +122,36 @@
     if (protects() && !request.from_backend && !admit_at_entry(*call, now)) {
       return;
     }
+    if (request.limited) {
+      acquire_permit(call);
+      return;
+    }
+    send_first(call, now);
+  }
+
+  // Sends the call if its organisation is below its rate limit, else refuses it.
+  void acquire_permit(const call_ptr& call) {
+    environment_.permits->acquire(
+        call->home.index, *call->request.limited, [this, call](const permit_decision& decision) {
+          if (call->ended) {
+            if (decision.is_granted) {
+              environment_.permits->give_back(call->home.index, *call->request.limited);
+            }
+            return;
+          }
+          if (!decision.is_granted) {
+            decide::record_refused(board_.entry_excess[call->request.organisation_slot]);
+            const auto wait = static_cast<std::uint32_t>(decision.wait.count());
+            finish(*call, refusal_reply(result_code::rate_exceeded, wait + retry_after(*call)));
+            return;
+          }
+          call->has_permit = true;
+          send_first(call, support::monotonic_now());
+        });
+  }
+
+  void send_first(const call_ptr& call, support::time_point now) {
+    const auto& request = call->request;
     decide::earn_retry(board_.retries[request.service_slot], request.retry_ratio, now);
     send(call, now);
   }
@@ -327,6 +358,10 @@
 
   void on_reply(const call_ptr& call, wire::call_reply reply) {
     board::record_peer_generation(board_.generations, reply.generation);
+    if (call->current.remote && !reply_was_lost(reply)) {
+      board_.last_peer_contact.store(support::monotonic_now().time_since_epoch().count(),
+                                     std::memory_order_relaxed);
+    }
     if (call->ended) {
       decide::end_attempt(*call->current.load);
       return;
@@ -448,6 +483,9 @@
     if (call.duplicate) {
       decide::end_call(board_.duplicates, *call.duplicate);
     }
+    if (call.has_permit && reply.outcome == wire::outcome::not_run) {
+      environment_.permits->give_back(call.home.index, *call.request.limited);
+    }
     const auto now = support::monotonic_now();
     environment_.metrics->observe(call.home.index, call.request.organisation_slot,
                                   call.request.call.rank, time_kind::call, now - call.arrived);
--- a/lib/daemon/entry_request.cpp
+++ b/lib/daemon/entry_request.cpp
@@ -112,6 +112,10 @@
       facts.route ? board::service_capacity + view.route_slots[*facts.route] : result.service_slot;
 }
 
+std::uint8_t add_offset(std::uint8_t rank, std::uint8_t offset) {
+  return static_cast<std::uint8_t>(std::min<int>(model::max_priority_rank, rank + offset));
+}
+
 // Determines the organisation of a host request and whether the local backend server may have made
 // it. Calls of backend servers carry no key.
 absl::Status find_caller(const board::configuration_view& view,
@@ -127,7 +131,7 @@
     result.inherits_organisation = true;
   } else if (const auto owner = view.snapshot.find_key_owner(*key)) {
     organisation = *owner;
-    result.is_rate_limited = true;
+    result.limited = view.limits[organisation];
   } else if (!is_public) {
     return make_error(result_code::unauthenticated);
   }
@@ -226,8 +230,8 @@
   const auto& compiled = view.snapshot.organisation(organisation);
   request.call.organisation = compiled.name;
   request.organisation_slot = view.organisation_slots[organisation];
-  request.call.rank = compiled.rank.value_or(request.call.rank);
-  request.returning_rank = compiled.returning_rank.value_or(request.returning_rank);
+  request.call.rank = add_offset(request.call.rank, compiled.rank_offset);
+  request.returning_rank = add_offset(request.returning_rank, compiled.rank_offset);
 }
 
 void mark_as_backend_call(entry_request& request, const wire::request_id& running) {
--- a/lib/daemon/publishers.cpp
+++ b/lib/daemon/publishers.cpp
@@ -72,6 +72,16 @@
   return routes;
 }
 
+std::optional<board::limited_organisation>
+make_limit(board::call_board& board, const model::compiled_organisation& organisation) {
+  if (organisation.rate_limit <= 0.0) {
+    return std::nullopt;
+  }
+  return board::limited_organisation{board.limited_organisations.slot_of(organisation.name),
+                                     model::hash_organisation(organisation.name),
+                                     {organisation.rate_limit, organisation.burst}};
+}
+
 std::map<std::uint32_t, model::limits> limits_by_slot(const board::configuration_view& view) {
   std::map<std::uint32_t, model::limits> limits;
   for (std::uint32_t index = 0; index < view.service_slots.size(); ++index) {
@@ -95,6 +105,7 @@
   for (const auto& organisation : view->snapshot.organisations()) {
     view->organisation_slots.push_back(board.organisations.slot_of(organisation.name));
     metrics.set_label(view->organisation_slots.back(), organisation.name);
+    view->limits.push_back(make_limit(board, organisation));
   }
   for (const auto& service : view->snapshot.services()) {
     view->service_slots.push_back(board.services.slot_of(service.name));
@@ -106,6 +117,8 @@
     view->host_route_slots.push_back(board.routes.slot_of(route.name));
     view->longest_timeout = std::max(view->longest_timeout, route.timeout);
   }
+  const auto* policy = view->snapshot.find_caller_policy(model::outside_policy_name);
+  view->requires_key = policy != nullptr && policy->policy.requires_key;
   const auto generation = view->snapshot.generation();
   board.configuration.publish(std::move(view));
   board.generations.in_force.store(generation, std::memory_order_relaxed);
@@ -138,8 +151,30 @@
   board.admission.publish(std::move(admission));
 }
 
+void publish_coordinators(board::call_board& board, const std::string& own_data_centre,
+                          const control::cluster_view& view) {
+  std::map<std::string, std::vector<std::string>> addresses;
+  for (const auto& member : view.members) {
+    addresses[member.data_centre].push_back(member.call_address);
+  }
+  auto coordinators = std::make_unique<decide::coordinator_view>();
+  coordinators->version = view.version;
+  // The own data centre comes first even if none of its daemons serves.
+  coordinators->groups.push_back(
+      decide::make_group(own_data_centre, std::move(addresses[own_data_centre])));
+  addresses.erase(own_data_centre);
+  for (auto& [data_centre, list] : addresses) {
+    coordinators->groups.push_back(decide::make_group(data_centre, std::move(list)));
+  }
+  for (const auto& group : coordinators->groups) {
+    coordinators->daemons += group.daemons;
+  }
+  board.coordinators.publish(std::move(coordinators));
+}
+
 void publish_routing(board::call_board& board, routing_publisher& publisher,
                      const control::cluster_view& view, support::time_point now) {
+  publish_coordinators(board, publisher.own_data_centre, view);
   const auto groups = group_members(board, view, publisher, now);
   std::erase_if(publisher.loads, [now](const auto& known) {
     return now - known.second.listed >= unlisted_load_lifetime;
--- a/tools/acaciactl/history_commands.cpp
+++ b/tools/acaciactl/history_commands.cpp
@@ -3,6 +3,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "acaciasill/model/configuration_set.h"
+#include "acaciasill/model/key_index.h"
 #include "acaciasill/support/result_code.h"
 #include "invocation.h"
 #include "output.h"
