Follow each change of the daemons when coordinators are chosen

Cause: a daemon kept its candidates as long as the directory's version stayed the same, but the own entry changes without a new version, so that daemons that had just started went on with the candidates of the first view. Ruled out by the trial: permits that were given back (9 in that second), isolated daemons (none), the fill of the buckets before.

The view of coordinators has a version of its own now, which changes with its contents. Test: publishers_test, which fails with the code before (0 != 0) and passes now.

--- a/include/acaciasill/decide/permits.h
+++ b/include/acaciasill/decide/permits.h
@@ -118,7 +118,7 @@
 
 // All coordinator groups as one daemon knows them.
 struct coordinator_view {
-  // Version of the membership from which the view was built.
+  // Changes with each change of the groups.
   std::uint64_t version = 0;
   // The daemon's own data centre comes first.
   std::vector<coordinator_group> groups;
--- a/lib/daemon/publishers.cpp
+++ b/lib/daemon/publishers.cpp
@@ -158,7 +158,6 @@
     addresses[member.data_centre].push_back(member.call_address);
   }
   auto coordinators = std::make_unique<decide::coordinator_view>();
-  coordinators->version = view.version;
   // The own data centre comes first even if none of its daemons serves.
   coordinators->groups.push_back(
       decide::make_group(own_data_centre, std::move(addresses[own_data_centre])));
@@ -169,6 +168,16 @@
   for (const auto& group : coordinators->groups) {
     coordinators->daemons += group.daemons;
   }
+  {
+    const board::rcu_read_guard guard;
+    const auto& present = board.coordinators.read(guard);
+    coordinators->version = present.version;
+    if (*coordinators == present) {
+      return;
+    }
+  }
+  // The version of the members does not change with the own entry, so it does not identify a view.
+  ++coordinators->version;
   board.coordinators.publish(std::move(coordinators));
 }
 
--- a/unittests/daemon/publishers_test.cpp
+++ b/unittests/daemon/publishers_test.cpp
@@ -59,3 +59,23 @@
     CHECK(publisher.loads.empty());
   }
 }
+
+TEST_CASE("a view of coordinators that differs has another version") {
+  const board::rcu_reader_thread registration;
+  board::call_board board;
+  routing_publisher publisher{"n-0", "dc", {}};
+  const auto version_of_view = [&board] {
+    const board::rcu_read_guard guard;
+    return board.coordinators.read(guard).version;
+  };
+  // The version of the members stays the same when the own entry changes.
+  publish(board, publisher, {member(7)}, time_point{});
+  const auto first = version_of_view();
+  auto other = member(7);
+  other.call_address = "127.0.0.1:2";
+  publish(board, publisher, {member(7), other}, time_point{});
+  const auto second = version_of_view();
+  CHECK(second != first);
+  publish(board, publisher, {other, member(7)}, time_point{});
+  CHECK(version_of_view() == second);
+}
