Grant no permits before the daemons of the data centre are known

Found by reading: a daemon that has the configuration but not yet the directory, and is asked for permits by another one, read the first of no groups, and an empty group gave a rate of 0 or the whole limit. It answers that it does not know now, and the sender asks the next candidate. The new test ends in a segmentation fault of fraction_of_group with the library before (address sanitizer) and passes now.

--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -75,7 +75,7 @@
                                                       call.home, now);
     if (!parsed.ok()) {
       const auto code = support::code_of(parsed.status());
-      // A newer configuration may contain the key or the route.
+      // A newer configuration may contain the key.
       const bool may_be_outdated = board_.generations.highest_seen.load(std::memory_order_relaxed) >
                                    board_.generations.in_force.load(std::memory_order_relaxed);
       return code == result_code::unauthenticated && may_be_outdated
--- a/lib/daemon/permit_service.cpp
+++ b/lib/daemon/permit_service.cpp
@@ -98,7 +98,8 @@
                                bool is_coordinator) const {
     const board::rcu_read_guard guard;
     const auto& view = environment.coordinators->read(guard);
-    const bool for_group = is_coordinator && !is_isolated(view, environment.now());
+    const bool for_group =
+        is_coordinator && knows_daemons() && !is_isolated(view, environment.now());
     return decide::part_of(organisation.limit, for_group ? decide::fraction_of_group(view, 0)
                                                          : decide::fraction_of_isolated(view));
   }
@@ -339,7 +340,7 @@
   void serve(std::size_t thread, const decide::permit_request& message,
              const optional_grant_callback& done) {
     const auto organisation = environment.find_organisation(message.organisation_hash);
-    if (!organisation) {
+    if (!organisation || !knows_daemons()) {
       done(std::nullopt);
       return;
     }
--- a/lib/daemon/permit_service.h
+++ b/lib/daemon/permit_service.h
@@ -66,7 +66,8 @@
   // Returns the permit of a request that has not run.
   void give_back(std::size_t thread, const board::limited_organisation& organisation);
 
-  // Answers a message of another daemon; nullopt if the organisation is not known here.
+  // Answers a message of another daemon; nullopt if the organisation or the daemons of the data
+  // centre are not known here.
   void serve(std::size_t thread, const decide::permit_request& message,
              const optional_grant_callback& done);
 
--- a/lib/decide/permits.cpp
+++ b/lib/decide/permits.cpp
@@ -176,7 +176,7 @@
 }
 
 double fraction_of_isolated(const coordinator_view& view) {
-  return view.daemons <= 1 ? 1.0 : isolated_fraction / view.daemons;
+  return view.daemons == 1 ? 1.0 : isolated_fraction / std::max(1U, view.daemons);
 }
 
 std::vector<std::uint32_t> choose_coordinators(const coordinator_group& group,
--- a/unittests/daemon/permit_service_test.cpp
+++ b/unittests/daemon/permit_service_test.cpp
@@ -49,6 +49,33 @@
 
 } // namespace
 
+TEST_CASE("a daemon that knows no other daemons grants nothing to those that ask it") {
+  const board::rcu_reader_thread registration;
+  std::vector<decide::permit_bucket> buckets(1);
+  decide::reset_permits(buckets.front(), support::time_point{});
+  const board::rcu_cell<decide::coordinator_view> coordinators{
+      std::make_unique<const decide::coordinator_view>()};
+  std::atomic<support::duration::rep> last_contact{0};
+  daemon::permit_environment environment;
+  environment.buckets = &buckets;
+  environment.coordinators = &coordinators;
+  environment.last_peer_contact = &last_contact;
+  environment.find_organisation = [](std::uint64_t hash) {
+    return board::limited_organisation{0, hash, {100.0, 100.0}};
+  };
+  environment.now = [] { return support::time_point(std::chrono::hours(1)); };
+  daemon::permit_service service(environment);
+  bool is_answered = false;
+  for (const auto sender : {decide::permit_sender::daemon, decide::permit_sender::substitute,
+                            decide::permit_sender::coordinator}) {
+    service.serve(0, {1, 10, sender}, [&](const std::optional<decide::permit_grant>& grant) {
+      is_answered = true;
+      CHECK_FALSE(grant.has_value());
+    });
+  }
+  CHECK(is_answered);
+}
+
 TEST_CASE("at nine tenths of the limit few requests are refused wherever they arrive") {
   const board::rcu_reader_thread registration;
   const stated_limit stated{300.0, 300.0};
