Limit requests in a data centre without a daemon that serves

Found by reading: a daemon granted requests freely until it knew a daemon of its own data centre, with the reason that no upstream is known then either. That holds only before the directory is read. Where all daemons of a data centre stop or have lost their servers, upstreams of others are known, and no limit was applied. The check asks for any daemon now; without a coordinator the small part of an isolated daemon is used. The new test fails before.

--- a/lib/daemon/permit_service.cpp
+++ b/lib/daemon/permit_service.cpp
@@ -131,17 +131,23 @@
     return is_isolated(environment.coordinators->read(guard), now);
   }
 
-  // Whether the daemons of the own data centre are known. Until then no upstream is known either,
-  // so that requests need no permit.
+  // Whether daemons of the own data centre are known.
   bool knows_daemons() const {
     const board::rcu_read_guard guard;
     const auto& view = environment.coordinators->read(guard);
     return !view.groups.empty() && view.groups.front().daemons > 0;
   }
 
+  // Whether the directory has not been read yet. Until then no upstream is known either, so that
+  // requests do not run and need no permit.
+  bool knows_nobody() const {
+    const board::rcu_read_guard guard;
+    return environment.coordinators->read(guard).daemons == 0;
+  }
+
   void acquire(std::size_t thread, const board::limited_organisation& organisation,
                permit_callback done) {
-    if (!knows_daemons()) {
+    if (knows_nobody()) {
       done({true, {}});
       return;
     }
--- a/unittests/daemon/permit_service_test.cpp
+++ b/unittests/daemon/permit_service_test.cpp
@@ -49,31 +49,70 @@
 
 } // namespace
 
+namespace {
+
+// A permit service whose messages are never answered.
+struct lonely_service {
+  explicit lonely_service(decide::coordinator_view view)
+      : coordinators(std::make_unique<const decide::coordinator_view>(std::move(view))) {
+    daemon::permit_environment environment;
+    environment.buckets = &buckets;
+    environment.coordinators = &coordinators;
+    environment.last_peer_contact = &last_contact;
+    environment.find_organisation = [](std::uint64_t hash) {
+      return board::limited_organisation{0, hash, {100.0, 100.0}};
+    };
+    environment.send = [](const std::string&, const decide::permit_request&, support::milliseconds,
+                          const daemon::optional_grant_callback& done) { done(std::nullopt); };
+    environment.now = [this] { return now; };
+    decide::reset_permits(buckets.front(), now);
+    service = std::make_unique<daemon::permit_service>(std::move(environment));
+  }
+
+  daemon::permit_decision acquire() {
+    daemon::permit_decision result;
+    service->acquire(0, organisation, [&](daemon::permit_decision given) { result = given; });
+    return result;
+  }
+
+  board::limited_organisation organisation{0, 1, {100.0, 100.0}};
+  support::time_point now{1h};
+  std::vector<decide::permit_bucket> buckets{1};
+  board::rcu_cell<decide::coordinator_view> coordinators;
+  std::atomic<support::duration::rep> last_contact{0};
+  std::unique_ptr<daemon::permit_service> service;
+};
+
+decide::coordinator_view view_of(std::vector<std::string> own, std::vector<std::string> others) {
+  decide::coordinator_view view;
+  view.version = 1;
+  view.daemons = static_cast<std::uint32_t>(own.size() + others.size());
+  view.groups = {decide::make_group("dc-0", std::move(own)),
+                 decide::make_group("dc-1", std::move(others))};
+  return view;
+}
+
+} // namespace
+
 TEST_CASE("a daemon that knows no other daemons grants nothing to those that ask it") {
   const board::rcu_reader_thread registration;
-  std::vector<decide::permit_bucket> buckets(1);
-  decide::reset_permits(buckets.front(), support::time_point{});
-  const board::rcu_cell<decide::coordinator_view> coordinators{
-      std::make_unique<const decide::coordinator_view>()};
-  std::atomic<support::duration::rep> last_contact{0};
-  daemon::permit_environment environment;
-  environment.buckets = &buckets;
-  environment.coordinators = &coordinators;
-  environment.last_peer_contact = &last_contact;
-  environment.find_organisation = [](std::uint64_t hash) {
-    return board::limited_organisation{0, hash, {100.0, 100.0}};
-  };
-  environment.now = [] { return support::time_point(std::chrono::hours(1)); };
-  daemon::permit_service service(environment);
-  bool is_answered = false;
+  lonely_service lonely({});
+  int answers = 0;
   for (const auto sender : {decide::permit_sender::daemon, decide::permit_sender::substitute,
                             decide::permit_sender::coordinator}) {
-    service.serve(0, {1, 10, sender}, [&](const std::optional<decide::permit_grant>& grant) {
-      is_answered = true;
-      CHECK_FALSE(grant.has_value());
-    });
+    lonely.service->serve(0, {1, 10, sender},
+                          [&](const std::optional<decide::permit_grant>& grant) {
+                            ++answers;
+                            CHECK_FALSE(grant.has_value());
+                          });
   }
-  CHECK(is_answered);
+  CHECK(answers == 3);
+}
+
+TEST_CASE("a daemon whose data centre has no daemon that serves is limited all the same") {
+  const board::rcu_reader_thread registration;
+  lonely_service lonely(view_of({}, {"10.0.0.2:1"}));
+  CHECK_FALSE(lonely.acquire().is_granted);
 }
 
 TEST_CASE("at nine tenths of the limit few requests are refused wherever they arrive") {
