Do not add permits for requests that needed none

Its permit was then given back, so that requests within the next 500 ms used permits that no coordinator had granted. The new test fails before.

--- a/lib/daemon/permit_service.cpp
+++ b/lib/daemon/permit_service.cpp
@@ -334,6 +334,9 @@
   }
 
   void give_back(std::size_t thread, const board::limited_organisation& organisation) {
+    if (knows_nobody()) {
+      return;
+    }
     auto& requests = threads[thread].requests[organisation.slot];
     const auto now = environment.now();
     if (now - requests.unused_since >= unused_lifetime) {
--- a/unittests/daemon/permit_service_test.cpp
+++ b/unittests/daemon/permit_service_test.cpp
@@ -115,6 +115,16 @@
   CHECK_FALSE(lonely.acquire().is_granted);
 }
 
+TEST_CASE("a request that was sent nowhere before the directory was read gives no permit back") {
+  const board::rcu_reader_thread registration;
+  lonely_service lonely({});
+  REQUIRE(lonely.acquire().is_granted);
+  lonely.service->give_back(0, lonely.organisation);
+  lonely.coordinators.publish(
+      std::make_unique<const decide::coordinator_view>(view_of({"10.0.0.1:1"}, {"10.0.0.2:1"})));
+  CHECK_FALSE(lonely.acquire().is_granted);
+}
+
 TEST_CASE("at nine tenths of the limit few requests are refused wherever they arrive") {
   const board::rcu_reader_thread registration;
   const stated_limit stated{300.0, 300.0};
