Advise callers over a limit to wait 2 s at most

Found by reading: an isolated daemon has 1/20 of a daemon's part, so that its next permit may be due after minutes, and Retry-After said so, although the daemon is normally connected again within seconds. Besides, a grant with a wait over 60 s was rejected by the daemon that had asked a substitute, which then counted the substitute as unavailable. The new test fails before.

--- a/lib/daemon/permit_service.cpp
+++ b/lib/daemon/permit_service.cpp
@@ -26,6 +26,9 @@
 constexpr support::milliseconds unused_lifetime{500};
 // Longest time for which requests are refused without asking the coordinator again.
 constexpr support::milliseconds max_refusal_time{20};
+// Longest time that callers are advised to wait. An isolated daemon expects its next permit after
+// minutes, but is normally connected again within seconds.
+constexpr support::milliseconds max_advised_wait{2000};
 // Pause after no other data centre had permits to transfer.
 constexpr support::milliseconds transfer_pause{100};
 constexpr std::uint32_t log_lines_per_second = 1;
@@ -391,9 +394,9 @@
   static decide::permit_grant make_grant(const decide::permit_bucket& bucket,
                                          const decide::bucket_part& part, std::uint32_t taken,
                                          support::time_point now) {
-    const auto wait = decide::time_to_permit(bucket, part, now);
-    return {taken, std::max(support::milliseconds(1),
-                            support::milliseconds(support::whole_milliseconds(wait)))};
+    const support::milliseconds wait(
+        support::whole_milliseconds(decide::time_to_permit(bucket, part, now)));
+    return {taken, std::clamp(wait, support::milliseconds(1), max_advised_wait)};
   }
 
   // Asks the next data centre for permits if the own bucket is low.
--- a/unittests/daemon/permit_service_test.cpp
+++ b/unittests/daemon/permit_service_test.cpp
@@ -125,6 +125,15 @@
   CHECK_FALSE(lonely.acquire().is_granted);
 }
 
+TEST_CASE("callers of a daemon that is cut off are not told to wait for minutes") {
+  const board::rcu_reader_thread registration;
+  lonely_service lonely(view_of({"10.0.0.1:1"}, {"10.0.0.2:1"}));
+  lonely.organisation.limit = {0.01, 1.0};
+  const auto decision = lonely.acquire();
+  CHECK_FALSE(decision.is_granted);
+  CHECK(decision.wait <= 10s);
+}
+
 TEST_CASE("at nine tenths of the limit few requests are refused wherever they arrive") {
   const board::rcu_reader_thread registration;
   const stated_limit stated{300.0, 300.0};
