Log requests that are rejected before they become calls

Found by reading: a 401 for a key that nobody has left no line in the log, so that an operator could not get from the request's id to its cause. A line "rejected" has the id, the code, and the configuration in force and heard of; it has no key and not the status's reason, which may repeat what the caller sent. At most 10 lines a second, with a budget of its own, so that callers without a key cannot suppress the lines about calls. Seen in the output of unit.platform.organisation_key; no test checks the line.

--- a/include/acaciasill/daemon/edge_protocol.h
+++ b/include/acaciasill/daemon/edge_protocol.h
@@ -2,6 +2,7 @@
 #define ACACIASILL_DAEMON_EDGE_PROTOCOL_H
 
 #include <functional>
+#include <string>
 
 #include "absl/status/statusor.h"
 
@@ -20,6 +21,9 @@
 
 // Functions of one protocol. The struct is plain data and shared by all request threads.
 struct edge_protocol {
+  // Header field of the caller's request id.
+  std::string request_id_field = "x-request-id";
+
   // Parses a request using the configuration in force. On success it may move parts out of the
   // request. Errors are answered with answer_error.
   std::function<absl::StatusOr<entry_request>(const board::configuration_view&, net::http_request&,
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -20,6 +20,7 @@
 #include "acaciasill/daemon/upstream_calls.h"
 #include "acaciasill/decide/request_path.h"
 #include "acaciasill/net/call_headers.h"
+#include "acaciasill/net/http_text.h"
 #include "acaciasill/net/peer_pool.h"
 #include "acaciasill/support/log.h"
 
@@ -35,6 +36,10 @@
 
 // Maximum rate of log lines about individual calls, per process.
 constexpr std::uint32_t call_log_lines_per_second = 20;
+// The same for requests that did not become calls. They have a budget of their own, so that callers
+// without a key cannot suppress the lines about calls.
+constexpr std::uint32_t rejection_log_lines_per_second = 10;
+constexpr std::size_t max_logged_id_bytes = 64;
 
 // Whether another run for a call of a backend server may repeat calls that nothing declares.
 bool repeats_undeclared_calls(const entry_request& request) {
@@ -56,6 +61,7 @@
     auto& own_calls = threads_[home.index];
     auto call = std::make_shared<entry_call>(++own_calls.last_id, home);
     if (const auto status = parse_request(*call, request, now); !status.ok()) {
+      log_rejected(request, status, now);
       respond(environment_.protocol->answer_error(request, status));
       return;
     }
@@ -68,6 +74,23 @@
     begin(call, now);
   }
 
+  // Logs a request that was rejected before it became a call. The reason of the status is not
+  // logged, since it may repeat what the caller sent.
+  void log_rejected(const net::http_request& request, const absl::Status& status,
+                    support::time_point now) {
+    std::uint32_t dropped = 0;
+    if (!rejection_log_budget_.allow(now, dropped)) {
+      return;
+    }
+    const auto* id = net::find_field(request.headers, environment_.protocol->request_id_field);
+    support::write_event(support::log_level::info, "call", "rejected",
+                         {{"request", id == nullptr ? "" : id->substr(0, max_logged_id_bytes)},
+                          {"code", support::format_code(support::code_of(status))},
+                          {"configuration", std::to_string(board_.generations.in_force.load())},
+                          {"heard", std::to_string(board_.generations.highest_seen.load())},
+                          {"lines_dropped_before", std::to_string(dropped)}});
+  }
+
   absl::Status parse_request(entry_call& call, net::http_request& request,
                              support::time_point now) {
     const board::rcu_read_guard guard;
@@ -579,6 +602,7 @@
   const support::time_point started_ = support::monotonic_now();
   std::vector<thread_calls> threads_;
   support::log_rate_limiter call_log_budget_{call_log_lines_per_second};
+  support::log_rate_limiter rejection_log_budget_{rejection_log_lines_per_second};
 };
 
 entry_calls::entry_calls(entry_environment environment)
