--- a/review/standin/mesh.py
+++ b/review/standin/mesh.py
@@ -472,6 +472,7 @@
         self.machines = []
         self.version = 0
         self.last_id = 0
+        self.tenants = {}
 
     async def add_machine(self, service, run, slots=128, zone="zone-a"):
         if self.store.server is None:
@@ -497,6 +498,8 @@
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3,
                        "idle_timeout_s": idle_timeout_s},
         }
+        if self.tenants:
+            config["tenants"] = self.tenants
         await self.store.put("op", "config", json.dumps(config).encode())
 
     async def start(self, routes):
@@ -518,8 +521,9 @@
                         if await machine.is_ready():
                             status, _ = await asyncio.wait_for(request_once(
                                 machine.outbound, "GET", f"/{name}/first",
-                                headers=[("Request-Id", self.make_id()), ("Deadline-Ms", "5000")]),
-                                6.0)
+                                headers=[("Request-Id", self.make_id()), ("Deadline-Ms", "5000")]
+                                + [("Key", tenant["api_keys"][0])
+                                   for tenant in list(self.tenants.values())[:1]]), 6.0)
                             if status == 200:
                                 break
                     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
