--- a/include/acaciasill/net/http_client.h
+++ b/include/acaciasill/net/http_client.h
@@ -32,9 +32,14 @@
   std::string body;
   support::milliseconds timeout{2000};
   support::milliseconds connect_timeout{1000};
-  // Whether the client may resend the request on a new connection if a reused connection fails
-  // before any response byte arrives.
+  // Whether running the request twice does no harm. Other requests use only connections that were
+  // used a short time ago, since the server may be closing an older one.
   bool repeatable = true;
+  // Whether the client sends a repeatable request again, on another connection, if a reused one
+  // ends before any response byte. The server may have run the request by then, so a request that
+  // is subject to a retry budget, an admission limit or a draining server leaves this to its
+  // sender.
+  bool resend_on_closed_connection = false;
   // Name of a request header field that the server copies into its response, or empty. A response
   // with a different value belongs to an earlier request and is discarded.
   std::string correlation_field;
--- a/lib/daemon/replica_service.cpp
+++ b/lib/daemon/replica_service.cpp
@@ -124,6 +124,7 @@
   }
   request.timeout = read.wait + answer_margin;
   request.connect_timeout = connect_timeout;
+  request.resend_on_closed_connection = true;
   client.send(std::move(request), [done = std::move(done)](const net::client_response& response) {
     done(parse_response(response));
   });
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -141,7 +141,9 @@
     release(address, std::move(connection), result.reusable);
     const bool closed_before_response = state.on_reused_connection && !result.response_started &&
                                         result.response.end == exchange_end::broken;
-    if (closed_before_response && state.request.repeatable && !state.was_resent) {
+    const bool may_resend =
+        state.request.repeatable && state.request.resend_on_closed_connection && !state.was_resent;
+    if (closed_before_response && may_resend) {
       state.was_resent = true;
       assign_connection(state);
       assign_waiting(address);
