--- a/include/acaciasill/net/http_client.h
+++ b/include/acaciasill/net/http_client.h
@@ -41,7 +41,8 @@
   // sender.
   bool resend_on_closed_connection = false;
   // Name of a request header field that the server copies into its response, or empty. A response
-  // with a different value belongs to an earlier request and is discarded.
+  // with a different value belongs to an earlier request and is discarded. After a response without
+  // the field, the connection is closed, so that a late copy of it cannot answer another request.
   std::string correlation_field;
 
   bool operator==(const client_request&) const = default;
@@ -74,6 +75,8 @@
   std::uint64_t connections_opened = 0;
   // Responses discarded because they belong to an earlier request.
   std::uint64_t mismatched_responses = 0;
+  // Responses without the correlation field of their request.
+  std::uint64_t uncorrelated_responses = 0;
   // Bytes received after a complete response or on an idle connection.
   std::uint64_t excess_bytes = 0;
 };
--- a/lib/net/client_connection.cpp
+++ b/lib/net/client_connection.cpp
@@ -213,10 +213,14 @@
       shared_state_->counters.excess_bytes += count - parsed;
     }
     // If the response arrived early, the rest of the request is unsent and the connection cannot be
-    // reused.
+    // reused. Nor can it after a response that a late copy would be mistaken for.
     const bool request_sent = output_offset_ == output_.size();
+    const bool is_recognisable = correlation_value_.empty() || find_correlation() != nullptr;
+    if (!is_recognisable) {
+      ++shared_state_->counters.uncorrelated_responses;
+    }
     finish(exchange_end::answered,
-           !excess && request_sent && http_should_keep_alive(&parser_) != 0);
+           !excess && request_sent && is_recognisable && http_should_keep_alive(&parser_) != 0);
     return;
   }
   if (message_.error != message_error::none) {
@@ -281,13 +285,14 @@
 }
 
 bool client_connection::is_mismatched_response() const {
-  if (correlation_value_.empty()) {
-    return false;
-  }
-  const auto* value = find_field(message_.headers, correlation_field_);
+  const auto* value = correlation_value_.empty() ? nullptr : find_correlation();
   return value != nullptr && *value != correlation_value_;
 }
 
+const std::string* client_connection::find_correlation() const {
+  return find_field(message_.headers, correlation_field_);
+}
+
 void client_connection::parse_keep_alive_timeout() {
   const auto* field = find_field(message_.headers, "keep-alive");
   if (field == nullptr) {
--- a/lib/net/client_connection.h
+++ b/lib/net/client_connection.h
@@ -78,6 +78,8 @@
   void parse_bytes(std::size_t count);
   void handle_eof();
   bool is_mismatched_response() const;
+  // Returns the correlation field of the response; null if it has none.
+  const std::string* find_correlation() const;
   int discard_message();
   void finish(exchange_end end, bool reusable);
   void handle_idle_close();
--- a/unittests/net/http_client_test.cpp
+++ b/unittests/net/http_client_test.cpp
@@ -214,15 +214,20 @@
   std::vector<step> script_;
 };
 
-client_request request_with_number(const scripted_server& server, const std::string& id) {
+client_request request_with_number(const std::string& id) {
   client_request request;
-  request.address = server.address();
   request.method = "GET";
   request.headers = {{"Request-Number", id}};
   request.correlation_field = "Request-Number";
   return request;
 }
 
+client_request request_with_number(const scripted_server& server, const std::string& id) {
+  auto request = request_with_number(id);
+  request.address = server.address();
+  return request;
+}
+
 std::string response_text(const std::string& id, const std::string& body) {
   return "HTTP/1.1 200 OK\r\nRequest-Number: " + id +
          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -251,6 +256,85 @@
   CHECK(client.counters().mismatched_responses == 1);
 }
 
+namespace {
+
+const std::string rejection_text =
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+// A server that rejects the first request of the first connection and writes the rejection once
+// more, late, before its response to the next request of that connection.
+class repeating_server {
+public:
+  explicit repeating_server(asio::io_context& context)
+      : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}) {
+    accept();
+  }
+
+  asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+private:
+  void accept() {
+    acceptor_.async_accept([this](asio::error_code error, asio::ip::tcp::socket socket) {
+      if (!error) {
+        serve(std::make_shared<asio::ip::tcp::socket>(std::move(socket)),
+              std::make_shared<std::string>(), connections_++ == 0);
+        accept();
+      }
+    });
+  }
+
+  void serve(const std::shared_ptr<asio::ip::tcp::socket>& socket,
+             const std::shared_ptr<std::string>& buffer, bool rejects) {
+    asio::async_read_until(
+        *socket, asio::dynamic_buffer(*buffer), "\r\n\r\n",
+        [this, socket, buffer, rejects](asio::error_code error, std::size_t size) {
+          if (error) {
+            return;
+          }
+          buffer->erase(0, size);
+          const bool repeats = std::exchange(has_rejected_, has_rejected_ || rejects) && rejects;
+          if (repeats) {
+            asio::write(*socket, asio::buffer(rejection_text));
+          }
+          asio::write(*socket, asio::buffer(rejects && !repeats ? rejection_text
+                                                                : response_text("2", "two")));
+          serve(socket, buffer, rejects);
+        });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  int connections_ = 0;
+  bool has_rejected_ = false;
+};
+
+} // namespace
+
+// Guards against a copied rejection that is taken for the answer to a request that runs.
+TEST_CASE("a late copy of a rejection without a number is not matched to the next request") {
+  asio::io_context context;
+  repeating_server server(context);
+  http_client client(context, 4, 1000);
+  auto first = request_with_number("1");
+  auto second = request_with_number("2");
+  first.address = second.address = server.address();
+  CHECK(exchange(context, client, first).status == 503);
+  const auto response = exchange(context, client, second);
+  CHECK(response.status == 200);
+  CHECK(response.body == "two");
+}
+
+TEST_CASE("a connection is kept after a rejection that bears the number of its request") {
+  asio::io_context context;
+  scripted_server server(context,
+                         {{"HTTP/1.1 503 Service Unavailable\r\nRequest-Number: 1\r\nNot-Run: 1\r\n"
+                           "Content-Length: 0\r\n\r\n"},
+                          {response_text("2", "two")}});
+  http_client client(context, 4, 1000);
+  CHECK(exchange(context, client, request_with_number(server, "1")).status == 503);
+  CHECK(exchange(context, client, request_with_number(server, "2")).body == "two");
+  CHECK(server.connections == 1);
+}
+
 TEST_CASE("a response without a length ends when the connection closes") {
   asio::io_context context;
   scripted_server server(context, {{"HTTP/1.1 200 OK\r\nRequest-Number: 1\r\n\r\nwhole", true}});
