--- a/include/acaciasill/control/backend_state.h
+++ b/include/acaciasill/control/backend_state.h
@@ -31,6 +31,16 @@
   bool operator==(const backend_report&) const = default;
 };
 
+// Largest number of slots that a backend server may state.
+inline constexpr std::uint32_t max_server_slots = 1000000;
+
+// Longest remaining warm-up time of a report, in seconds.
+inline constexpr double max_warm_up_s = 3600.0;
+
+// Whether the report names an instance and an address that a server can have, and a number of
+// slots from 1 to max_server_slots.
+bool is_valid(const backend_report& report);
+
 // Availability of the server.
 enum class backend_availability : std::uint8_t {
   unknown, // No report has been received yet.
--- a/include/acaciasill/control/directory.h
+++ b/include/acaciasill/control/directory.h
@@ -54,7 +54,8 @@
 // Encodes the row's value.
 std::string encode_entry(const directory_entry& entry);
 
-// Decodes a row; fails with frame_corrupt if it was not written by encode_entry.
+// Decodes a row; fails with frame_corrupt if it was not written by encode_entry. The rows may have
+// other writers, so numbers out of range and keys that are no addresses are rejected.
 absl::StatusOr<directory_entry> decode_entry(std::string_view key, std::string_view value);
 
 // Name of the table that holds the rows.
--- a/lib/control/backend_state.cpp
+++ b/lib/control/backend_state.cpp
@@ -1,5 +1,7 @@
 #include "acaciasill/control/backend_state.h"
 
+#include "acaciasill/support/socket_address.h"
+
 namespace acaciasill::control {
 namespace {
 
@@ -25,6 +27,11 @@
 
 } // namespace
 
+bool is_valid(const backend_report& report) {
+  return !report.instance.empty() && report.slots > 0 && report.slots <= max_server_slots &&
+         support::is_server_address(report.address);
+}
+
 report_effect apply_report(backend_state& state, const backend_report& report,
                            support::time_point now) {
   if (is_stale(state, report)) {
--- a/lib/control/directory.cpp
+++ b/lib/control/directory.cpp
@@ -5,8 +5,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include "acaciasill/control/backend_state.h"
 #include "acaciasill/support/hash.h"
+#include "acaciasill/support/json_number.h"
 #include "acaciasill/support/result_code.h"
+#include "acaciasill/support/socket_address.h"
 
 namespace acaciasill::control {
 namespace {
@@ -28,6 +31,18 @@
   return static_cast<serving_state>(found - std::begin(state_names));
 }
 
+// Throws json::exception if the value is no list of lists of hashes.
+std::vector<decide::crash_requests> read_crashes(const json& value) {
+  std::vector<decide::crash_requests> crashes;
+  for (const auto& requests : value.get_ref<const json::array_t&>()) {
+    auto& crash = crashes.emplace_back();
+    for (const auto& content : requests.get_ref<const json::array_t&>()) {
+      crash.push_back(support::read_unsigned<decide::content_hash>(content));
+    }
+  }
+  return crashes;
+}
+
 } // namespace
 
 std::string encode_entry(const directory_entry& entry) {
@@ -54,13 +69,16 @@
     entry.data_centre = parsed.at("d").get<std::string>();
     entry.service = parsed.at("s").get<std::string>();
     entry.instance = parsed.at("i").get<std::string>();
-    entry.instance_start_ms = parsed.at("b").get<std::uint64_t>();
-    entry.slots = parsed.at("c").get<std::uint32_t>();
-    entry.replica_port = parsed.value("r", std::uint16_t{0});
-    entry.crashes = parsed.value("x", std::vector<decide::crash_requests>());
+    entry.instance_start_ms = support::read_unsigned<std::uint64_t>(parsed.at("b"));
+    entry.slots =
+        static_cast<std::uint32_t>(support::read_unsigned(parsed.at("c"), max_server_slots));
+    entry.replica_port = support::read_unsigned_member<std::uint16_t>(parsed, "r");
+    if (const auto* crashes = support::find_member(parsed, "x"); crashes != nullptr) {
+      entry.crashes = read_crashes(*crashes);
+    }
     const bool has_valid_crashes = decide::is_within_bounds(entry.crashes);
     const auto state = parse_state(parsed.at("t").get<std::string>());
-    if (state && has_valid_crashes) {
+    if (state && has_valid_crashes && support::is_server_address(key)) {
       entry.state = *state;
       return entry;
     }
--- a/lib/daemon/backend_registry.cpp
+++ b/lib/daemon/backend_registry.cpp
@@ -6,15 +6,16 @@
 #include <nlohmann/json.hpp>
 
 #include "acaciasill/board/call_board.h"
+#include "acaciasill/control/backend_state.h"
 #include "acaciasill/daemon/publishers.h"
-#include "acaciasill/net/peer_settings.h"
+#include "acaciasill/support/json_number.h"
 #include "acaciasill/support/result_code.h"
+#include "acaciasill/support/socket_address.h"
 
 namespace acaciasill::daemon {
 namespace {
 
 constexpr std::size_t max_name_bytes = 256;
-constexpr std::uint32_t max_slots = 1000000;
 
 // Returns the announcement without its load report, which differs in each heartbeat.
 backend_announcement without_load_report(backend_announcement announcement) {
@@ -25,7 +26,8 @@
 
 bool is_usable(const backend_announcement& announcement) {
   return !announcement.service.empty() && announcement.service.size() <= max_name_bytes &&
-         announcement.slots <= max_slots && net::parse_peer_address(announcement.address).ok();
+         announcement.slots <= control::max_server_slots &&
+         support::is_server_address(announcement.address);
 }
 
 } // namespace
@@ -36,11 +38,11 @@
     backend_announcement announcement;
     announcement.service = json.at("service").get<std::string>();
     announcement.address = json.at("address").get<std::string>();
-    announcement.slots = json.value("slots", 0U);
-    announcement.connections = json.value("connections", 0U);
+    announcement.slots = support::read_unsigned_member<std::uint32_t>(json, "slots");
+    announcement.connections = support::read_unsigned_member<std::uint32_t>(json, "connections");
     announcement.cold = json.value("cold", false);
     if (json.contains("in_flight")) {
-      announcement.in_flight = json.at("in_flight").get<std::uint32_t>();
+      announcement.in_flight = support::read_unsigned<std::uint32_t>(json.at("in_flight"));
     }
     if (is_usable(announcement)) {
       return announcement;
--- a/lib/net/peer_settings.cpp
+++ b/lib/net/peer_settings.cpp
@@ -1,10 +1,9 @@
 #include "acaciasill/net/peer_settings.h"
 
-#include <charconv>
-
 #include <asio/ip/address.hpp>
 
 #include "acaciasill/support/result_code.h"
+#include "acaciasill/support/socket_address.h"
 
 namespace acaciasill::net {
 namespace {
@@ -38,28 +37,16 @@
     return make_error(result_code::out_of_range,
                       "expected an IP address and port, got: " + std::string(text.substr(0, 64)));
   };
-  const auto colon = text.rfind(':');
-  if (colon == std::string_view::npos) {
-    return error();
-  }
-  std::string host(text.substr(0, colon));
-  const bool has_brackets = host.size() > 2 && host.front() == '[' && host.back() == ']';
-  if (has_brackets) {
-    host = host.substr(1, host.size() - 2);
-  }
-  const std::string_view port_text = text.substr(colon + 1);
-  std::uint16_t port = 0;
-  const auto [end, parse_error] =
-      std::from_chars(port_text.data(), port_text.data() + port_text.size(), port);
-  if (parse_error != std::errc() || end != port_text.data() + port_text.size()) {
+  const auto parts = support::split_address(text);
+  if (!parts) {
     return error();
   }
   asio::error_code address_error;
-  const auto address = asio::ip::make_address(host, address_error);
-  if (address_error || address.is_v6() != has_brackets) {
+  const auto address = asio::ip::make_address(parts->host, address_error);
+  if (address_error || address.is_v6() != parts->has_brackets) {
     return error();
   }
-  return peer_address(address, port);
+  return peer_address(address, parts->port);
 }
 
 } // namespace acaciasill::net
--- a/unittests/control/directory_test.cpp
+++ b/unittests/control/directory_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "acaciasill/control/backend_state.h"
 #include "control/table_fixture.h"
 
 using namespace acaciasill::control;
@@ -49,6 +50,69 @@
   }
 }
 
+namespace {
+
+// A row as encode_entry writes it, with one member replaced by other text.
+std::string row_with(const std::string& name, const std::string& text) {
+  std::string row = R"({"n":"n","d":"dc","s":"pricing","i":"i-1","b":7,"c":36,"r":0,"t":"ready"})";
+  const auto begin = row.find('"' + name + "\":") + name.size() + 3;
+  return row.replace(begin, row.find_first_of(",}", begin) - begin, text);
+}
+
+std::string nested(std::size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+} // namespace
+
+// Guards against a row of another writer that names a server with truncated or absurd numbers.
+TEST_CASE("a row with numbers out of range is rejected") {
+  const std::string key = "10.0.0.1:1";
+  CHECK(decode_entry(key, row_with("c", "36")).ok());
+  for (const auto* member : {"b", "c", "r"}) {
+    for (const auto* number :
+         {"-1", "1.5", "1e300", "-1e300", "1e999", "99999999999999999999999"}) {
+      INFO(member << ": " << number);
+      CHECK_FALSE(decode_entry(key, row_with(member, number)).ok());
+    }
+  }
+  CHECK_FALSE(decode_entry(key, row_with("c", "4294967332")).ok());
+  CHECK_FALSE(decode_entry(key, row_with("c", std::to_string(max_server_slots + 1))).ok());
+  CHECK_FALSE(decode_entry(key, row_with("r", "65536")).ok());
+  CHECK_FALSE(decode_entry(key, row_with("r", R"(0,"x":[[1.5]])")).ok());
+  CHECK_FALSE(decode_entry(key, row_with("r", R"(0,"x":[[-1]])")).ok());
+}
+
+TEST_CASE("a row whose key is no address of a server is rejected") {
+  for (const auto* key : {"", "n-1", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65537", "10.0.0.1:99999",
+                          "10.0.0.1:-1", "10.0.0.256:1", "10.0.0.1:1x", "::1:1", "[10.0.0.1]:1"}) {
+    INFO(key);
+    CHECK_FALSE(decode_entry(key, row_with("c", "36")).ok());
+  }
+  CHECK(decode_entry("[::1]:65535", row_with("c", "36")).ok());
+}
+
+TEST_CASE("a row of another writer is skipped, and the directory goes on") {
+  constexpr std::size_t depth = 200000;
+  manual_store platform;
+  test_directory own(platform);
+  const std::vector<std::string> odd = {nested(depth),
+                                        std::string(depth, '['),
+                                        row_with("n", nested(depth)),
+                                        row_with("r", R"(0,"x":)" + nested(depth)),
+                                        row_with("c", "1e300"),
+                                        row_with("r", "70000")};
+  for (std::size_t index = 0; index < odd.size(); ++index) {
+    platform.put(directory_table, "10.0.1." + std::to_string(index) + ":1", odd[index]);
+  }
+  platform.put(directory_table, "10.0.1.99:99999", row_with("c", "36"));
+  platform.put(directory_table, "10.0.0.2:1", encode_entry(entry("10.0.0.2:1")));
+  platform.answer_changes();
+  CHECK(own.unreadable == static_cast<int>(odd.size()) + 1);
+  REQUIRE(own.members.entries().size() == 1);
+  CHECK(own.members.entries().begin()->first == "10.0.0.2:1");
+}
+
 TEST_CASE("a daemon writes its row once for each change") {
   manual_store platform;
   test_directory own(platform);
--- a/unittests/daemon/backend_registry_test.cpp
+++ b/unittests/daemon/backend_registry_test.cpp
@@ -18,6 +18,22 @@
   CHECK(parse_announcement(R"({"service":"a","address":"127.0.0.1:1","slots":4})")->slots == 4);
 }
 
+TEST_CASE("an announcement with numbers or a port out of range is rejected") {
+  for (const auto* members :
+       {R"("address":"127.0.0.1:65537","slots":4)", R"("address":"127.0.0.1:0","slots":4)",
+        R"("address":"127.0.0.1:1","slots":4294967300)", R"("address":"127.0.0.1:1","slots":1e300)",
+        R"("address":"127.0.0.1:1","slots":4,"connections":4294967300)",
+        R"("address":"127.0.0.1:1","slots":4,"in_flight":1.5)"}) {
+    INFO(members);
+    const auto body = std::string(R"({"service":"a",)") + members + "}";
+    CHECK(support::code_of(parse_announcement(body).status()) == support::result_code::bad_request);
+  }
+  constexpr std::size_t depth = 200000;
+  const auto nested = R"({"service":"a","address":"127.0.0.1:1","slots":)" +
+                      std::string(depth, '[') + std::string(depth, ']') + "}";
+  CHECK_FALSE(parse_announcement(nested).ok());
+}
+
 TEST_CASE("a backend server is lost when its heartbeat times out and can announce itself again") {
   board::call_board board;
   const board::rcu_reader_thread reader;
