--- a/unittests/net/cut_answer_test.cpp
+++ b/unittests/net/cut_answer_test.cpp
@@ -70,7 +70,7 @@
 
 // Guards against a success that a caller gets although the server stopped within its answer.
 TEST_CASE("an answer that ends in its head or in a framed body is never complete") {
-  const std::string head = "HTTP/1.1 200 OK\r\nCall-Number: own\r\nServer-Stamp: abc\r\n";
+  const std::string head = "HTTP/1.1 200 OK\r\nCall-Number: own\r\nSignature: abc\r\n";
   const auto [what, whole, end] = GENERATE_COPY(table<std::string, std::string, std::size_t>({
       {"a length", head + "Content-Length: 5\r\n\r\nwhole", 0},
       {"no body", head + "Content-Length: 0\r\n\r\n", 0},
@@ -80,7 +80,7 @@
       {"no length", head + "\r\nwhole", 5},
       {"an interim response", "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 0\r\n\r\n",
        0},
-      {"an older version", "HTTP/1.0 200 OK\r\nServer-Stamp: abc\r\nContent-Length: 5\r\n\r\nwhole",
+      {"an older version", "HTTP/1.0 200 OK\r\nSignature: abc\r\nContent-Length: 5\r\n\r\nwhole",
        0},
       {"a folded line", head + "A: b\r\n c\r\nContent-Length: 5\r\n\r\nwhole", 0},
   }));
