--- a/lib/net/client_connection.cpp
+++ b/lib/net/client_connection.cpp
@@ -213,14 +213,15 @@
       shared_state_->counters.excess_bytes += count - parsed;
     }
     // If the response arrived early, the rest of the request is unsent and the connection cannot be
-    // reused. Nor can it after a response that a late copy would be mistaken for.
+    // reused. After a response without the correlation field, a late copy of it would be taken for
+    // the next one.
     const bool request_sent = output_offset_ == output_.size();
-    const bool is_recognisable = correlation_value_.empty() || find_correlation() != nullptr;
-    if (!is_recognisable) {
+    const bool is_correlated = correlation_value_.empty() || find_correlation() != nullptr;
+    if (!is_correlated) {
       ++shared_state_->counters.uncorrelated_responses;
     }
     finish(exchange_end::answered,
-           !excess && request_sent && is_recognisable && http_should_keep_alive(&parser_) != 0);
+           !excess && request_sent && is_correlated && http_should_keep_alive(&parser_) != 0);
     return;
   }
   if (message_.error != message_error::none) {
--- a/lib/support/socket_address.cpp
+++ b/lib/support/socket_address.cpp
@@ -25,8 +25,12 @@
 }
 
 bool is_server_address(std::string_view text) {
-  const auto parts = split_address(text);
+  // The system's parser stops at a zero byte.
+  if (text.find('\0') != std::string_view::npos) {
+    return false;
+  }
   in6_addr address{};
+  const auto parts = split_address(text);
   return parts && parts->port != 0 &&
          ::inet_pton(parts->has_brackets ? AF_INET6 : AF_INET, parts->host.c_str(), &address) == 1;
 }
--- a/unittests/control/directory_test.cpp
+++ b/unittests/control/directory_test.cpp
@@ -89,6 +89,7 @@
     INFO(key);
     CHECK_FALSE(decode_entry(key, row_with("c", "36")).ok());
   }
+  CHECK_FALSE(decode_entry(std::string("10.0.0.1\0:1", 11), row_with("c", "36")).ok());
   CHECK(decode_entry("[::1]:65535", row_with("c", "36")).ok());
 }
 
