--- a/unittests/platform/cluster_fixture.h
+++ b/unittests/platform/cluster_fixture.h
@@ -149,6 +149,8 @@
 
   net::client_response send(const std::string& ip, int offset, net::client_request request) {
     request.address = {asio::ip::make_address(ip), static_cast<std::uint16_t>(first_port + offset)};
+    // A test may have replaced the daemon since the last request.
+    request.resend_on_closed_connection = true;
     std::optional<net::client_response> result;
     client.send(std::move(request),
                 [&result](net::client_response response) { result = std::move(response); });
