--- a/review/7/case.py
+++ b/review/7/case.py
@@ -86,15 +86,13 @@
 async def main(folder):
     deployment = Deployment(folder, "127.67.0")
     record, upstreams = deployment.record, {}
-    quiet = type("Quiet", (), {"write": lambda self, what, **fields: (
-        record.write(what, **fields) if "crashed" in what else None)})()
     try:
         for number in range(MACHINES):
             zone = ZONES[number % len(ZONES)]
             deployment.add(f"sidecar-{zone}-{number // len(ZONES) + 1}", zone, "huvo11a")
         await deployment.start_store()
         for machine in deployment.machines:
-            upstreams[machine.name] = Upstream(machine, SLOTS, work, quiet)
+            upstreams[machine.name] = Upstream(machine, SLOTS, work, record)
             await upstreams[machine.name].start()
             deployment.start_daemon(machine)
         routes = {"r-1": route(HOST, "/leny950/", "idempotent", "huvo11a", 5.0)}
--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -7,7 +7,6 @@
 import json
 import os
 import re
-import resource
 import signal
 import socket
 import subprocess
@@ -481,8 +480,7 @@
         environment["ACACIASILL_NODE_FILE"] = str(file)
         machine.process = subprocess.Popen(
             self.role["program"], cwd=REPOSITORY, env=environment, stdin=subprocess.DEVNULL,
-            stdout=log, stderr=subprocess.STDOUT,
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_CORE, (0, 0)))
+            stdout=log, stderr=subprocess.STDOUT)
         log.close()
         self.record.write("daemon started", machine=machine.name, pid=machine.process.pid)
 
