Reject an answer without a length that a reset ends during the upload

Cause: the client goes on writing the request while the answer arrives. The write after the reset fails and takes the pending error from the socket, so that the next read sees the end of the stream, which completes a body without a length.

Ruled out: a reset that the read sees first (an error, tested before), and bodies with a length or in chunks (the parser knows where they end).

Change: once a write has failed, the end of the stream no longer completes an answer. An answer that is complete by its own length before the reset is still used; a test holds that.

--- a/lib/net/client_connection.cpp
+++ b/lib/net/client_connection.cpp
@@ -156,7 +156,10 @@
       return;
     }
     if (error) {
-      // The server may have responded before it reset the connection; the read handler decides.
+      // The server may have responded before it reset the connection; the read handler decides. The
+      // failed write has taken the error from the socket, so the next read sees the end of the
+      // stream instead of a reset.
+      write_failed_ = true;
       return;
     }
     output_offset_ += count;
@@ -235,11 +238,12 @@
   wait_until_readable();
 }
 
-// Handles end of stream, which completes a response without a length.
+// Handles end of stream, which completes a response without a length unless the connection failed.
 void client_connection::handle_eof() {
   const auto self = shared_from_this();
   http_parser_execute(&parser_, &parser_settings, shared_state_->read_buffer.data(), 0);
-  finish(response_complete_ ? exchange_end::answered : exchange_end::broken, false);
+  const bool is_complete = response_complete_ && !write_failed_;
+  finish(is_complete ? exchange_end::answered : exchange_end::broken, false);
 }
 
 int client_connection::on_message_begin() {
--- a/lib/net/client_connection.h
+++ b/lib/net/client_connection.h
@@ -105,6 +105,8 @@
   bool response_started_ = false;
   bool response_complete_ = false;
   bool writing_ = false;
+  // Whether a write has failed, after which the end of the stream may be a reset.
+  bool write_failed_ = false;
   bool waiting_until_readable_ = false;
   support::time_point usable_until_ = support::time_point::max();
   support::time_point idle_since_;
--- a/unittests/net/cut_answer_test.cpp
+++ b/unittests/net/cut_answer_test.cpp
@@ -1,72 +1,19 @@
-#include <optional>
 #include <string>
-#include <utility>
+#include <tuple>
 
 #include <asio.hpp>
 #include <catch2/catch.hpp>
 
 #include "acaciasill/net/http_client.h"
 
+#include "net/answering_server.h"
+
 // Answers that end in the middle. The stand-in sends the first bytes of an answer and closes the
 // connection, or resets it.
 
 using namespace acaciasill;
 using namespace acaciasill::net;
-
-namespace {
-
-class cutting_server {
-public:
-  explicit cutting_server(asio::io_context& context)
-      : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}) {
-    accept();
-  }
-
-  asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
-
-  std::string text;
-  bool resets = false;
-
-private:
-  void accept() {
-    acceptor_.async_accept([this](asio::error_code error, asio::ip::tcp::socket socket) {
-      if (!error) {
-        serve(std::make_shared<asio::ip::tcp::socket>(std::move(socket)));
-        accept();
-      }
-    });
-  }
-
-  void serve(const std::shared_ptr<asio::ip::tcp::socket>& socket) {
-    auto buffer = std::make_shared<std::string>();
-    asio::async_read_until(*socket, asio::dynamic_buffer(*buffer), "\r\n\r\n",
-                           [this, socket, buffer](asio::error_code error, std::size_t /*size*/) {
-                             if (error) {
-                               return;
-                             }
-                             asio::write(*socket, asio::buffer(text));
-                             if (resets) {
-                               socket->set_option(asio::socket_base::linger(true, 0));
-                             }
-                             socket->close();
-                           });
-  }
-
-  asio::ip::tcp::acceptor acceptor_;
-};
-
-client_response exchange(asio::io_context& context, http_client& client,
-                         const client_request& request) {
-  std::optional<client_response> result;
-  client.send(request, [&result](client_response response) { result = std::move(response); });
-  context.restart();
-  while (!result) {
-    context.run_one();
-  }
-  return *result;
-}
-
-} // namespace
+using namespace acaciasill::net::testing;
 
 // Guards against a success that a caller gets although the server stopped within its answer.
 TEST_CASE("an answer that ends in its head or in a framed body is never complete") {
@@ -86,8 +33,8 @@
   }));
   const bool resets = GENERATE(false, true);
   asio::io_context context;
-  cutting_server server(context);
-  server.resets = resets;
+  answering_server server(context);
+  server.then = resets ? after_answer::reset : after_answer::close;
   http_client client(context, 4, 1000);
   client_request request;
   request.address = server.address();
@@ -101,3 +48,41 @@
     CHECK(exchange(context, client, request).end == exchange_end::broken);
   }
 }
+
+// Guards against the error of a write that hides the reset from the read after it, which then sees
+// the end of the stream instead.
+TEST_CASE("an answer without a length is not complete if its connection is reset during the "
+          "upload") {
+  // Exceeds what the sockets buffer, so that the client is still writing when the answer arrives.
+  constexpr std::size_t upload_bytes = 12'000'000;
+  constexpr int exchanges = 8;
+  asio::io_context context;
+  answering_server server(context);
+  server.then = after_answer::reset;
+  server.text = "HTTP/1.1 200 OK\r\nSignature: abc\r\n\r\n" + std::string(2000, 'x');
+  http_client client(context, 4, 100'000);
+  client_request request;
+  request.address = server.address();
+  request.method = GENERATE("POST", "PUT");
+  request.body.assign(upload_bytes, 'u');
+  for (int index = 0; index < exchanges; ++index) {
+    CHECK(exchange(context, client, request).end == exchange_end::broken);
+  }
+}
+
+TEST_CASE("an answer with a length that is complete before a reset during the upload is kept") {
+  constexpr std::size_t upload_bytes = 12'000'000;
+  asio::io_context context;
+  answering_server server(context);
+  server.then = after_answer::reset;
+  server.text = "HTTP/1.1 413 Content Too Large\r\nContent-Length: 5\r\n\r\nwhole";
+  http_client client(context, 4, 100'000);
+  client_request request;
+  request.address = server.address();
+  request.method = "POST";
+  request.body.assign(upload_bytes, 'u');
+  const auto response = exchange(context, client, request);
+  CHECK(response.end == exchange_end::answered);
+  CHECK(response.status == 413);
+  CHECK(response.body == "whole");
+}
