Reject an answer whose status is outside 100 to 599

Cause: the parser accepts any number of up to three digits. The client took every status below 200 for an interim response, discarded it and waited for the final one.

Change: the exchange ends as broken once the head with such a status is complete, so that the caller gets 502 at once and an idempotent request may still run elsewhere. Only 100 to 199 are interim responses.

--- a/include/acaciasill/net/http_text.h
+++ b/include/acaciasill/net/http_text.h
@@ -46,6 +46,10 @@
 int append_field_value(http_message& message, std::string_view bytes, const message_limits& limits);
 int append_body(http_message& message, std::string_view bytes, const message_limits& limits);
 
+// Whether the status of a response is within the range that RFC 9110 (section 15) defines. The
+// parser accepts any number of up to three digits.
+bool is_valid_status(unsigned status);
+
 // Returns the value of the first field with the name, ignoring case, or nullptr.
 const std::string* find_field(const std::vector<wire::header_field>& fields, std::string_view name);
 
--- a/lib/net/client_connection.cpp
+++ b/lib/net/client_connection.cpp
@@ -23,6 +23,10 @@
 // Number of interim responses and of responses to earlier requests that one exchange discards. A
 // server that sends more of them may never end.
 constexpr std::uint32_t max_discarded_messages = 16;
+// Results of the callback for a complete head. Any other value than these and 0 makes the parser
+// fail as well.
+constexpr int parser_failure = -1;
+constexpr int no_body_follows = 1;
 
 const http_parser_settings parser_settings = parser_callbacks<client_connection>();
 
@@ -260,8 +264,10 @@
 }
 
 int client_connection::on_headers_complete() {
-  // The return value 1 tells the parser that no body follows.
-  return head_request_ ? 1 : 0;
+  if (!is_valid_status(parser_.status_code)) {
+    return parser_failure;
+  }
+  return head_request_ ? no_body_follows : 0;
 }
 
 int client_connection::on_body(std::string_view bytes) {
--- a/lib/net/http_text.cpp
+++ b/lib/net/http_text.cpp
@@ -7,6 +7,9 @@
 namespace acaciasill::net {
 namespace {
 
+constexpr unsigned min_status = 100;
+constexpr unsigned max_status = 599;
+
 bool add_header_bytes(http_message& message, std::size_t bytes, const message_limits& limits) {
   message.header_bytes += bytes;
   if (message.header_bytes > limits.max_header_bytes) {
@@ -57,6 +60,10 @@
   return 0;
 }
 
+bool is_valid_status(unsigned status) {
+  return status >= min_status && status <= max_status;
+}
+
 const std::string* find_field(const std::vector<wire::header_field>& fields,
                               std::string_view name) {
   const auto found = std::find_if(fields.begin(), fields.end(), [name](const auto& field) {
