Reject an answer with a field name that is no token

What callers saw: an answer with a blank in the name of a field was passed on with that line.

Cause: the parser is built to accept blanks in field names, and nothing else checked them.

Ruled out: control bytes, bytes from 0x80 and separators in names, and control bytes in values; the parser rejects them, which the tests now hold. A line that begins with a blank continues the value before it and is joined.

Change: a part of a name with any other byte than those of a token (RFC 9110, 5.6.2) ends the exchange as broken, in the head and in the trailer of a body in chunks.

--- a/include/acaciasill/net/http_text.h
+++ b/include/acaciasill/net/http_text.h
@@ -50,6 +50,10 @@
 // parser accepts any number of up to three digits.
 bool is_valid_status(unsigned status);
 
+// Whether the text is a valid field name, a token of RFC 9110 (section 5.6.2). The parser also
+// accepts blanks.
+bool is_field_name(std::string_view text);
+
 // Returns the value of the first field with the name, ignoring case, or nullptr.
 const std::string* find_field(const std::vector<wire::header_field>& fields, std::string_view name);
 
--- a/lib/net/client_connection.cpp
+++ b/lib/net/client_connection.cpp
@@ -23,8 +23,7 @@
 // Number of interim responses and of responses to earlier requests that one exchange discards. A
 // server that sends more of them may never end.
 constexpr std::uint32_t max_discarded_messages = 16;
-// Results of the callback for a complete head. Any other value than these and 0 makes the parser
-// fail as well.
+// Results of parser callbacks; no_body_follows applies to the callback for a complete head.
 constexpr int parser_failure = -1;
 constexpr int no_body_follows = 1;
 
@@ -256,6 +255,10 @@
 }
 
 int client_connection::on_field_name(std::string_view bytes) {
+  // The name may arrive in parts, which may be empty and else consist of the characters of a name.
+  if (!bytes.empty() && !is_field_name(bytes)) {
+    return parser_failure;
+  }
   return append_field_name(message_, bytes, shared_state_->limits);
 }
 
--- a/lib/net/http_text.cpp
+++ b/lib/net/http_text.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "absl/strings/ascii.h"
+
 #include "acaciasill/net/call_headers.h"
 
 namespace acaciasill::net {
@@ -10,6 +12,14 @@
 constexpr unsigned min_status = 100;
 constexpr unsigned max_status = 599;
 
+// Characters of a token besides letters and digits.
+constexpr std::string_view token_symbols = "!#$%&'*+-.^_`|~";
+
+bool is_token_character(char character) {
+  return absl::ascii_isalnum(static_cast<unsigned char>(character)) ||
+         token_symbols.find(character) != std::string_view::npos;
+}
+
 bool add_header_bytes(http_message& message, std::size_t bytes, const message_limits& limits) {
   message.header_bytes += bytes;
   if (message.header_bytes > limits.max_header_bytes) {
@@ -64,6 +74,10 @@
   return status >= min_status && status <= max_status;
 }
 
+bool is_field_name(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), is_token_character);
+}
+
 const std::string* find_field(const std::vector<wire::header_field>& fields,
                               std::string_view name) {
   const auto found = std::find_if(fields.begin(), fields.end(), [name](const auto& field) {
--- a/unittests/net/malformed_answer_test.cpp
+++ b/unittests/net/malformed_answer_test.cpp
@@ -49,3 +49,81 @@
   CHECK(response.status == status);
   CHECK(response.body == (has_body ? "whole" : ""));
 }
+
+TEST_CASE("an answer with a field name that is no token ends the exchange") {
+  const std::string line = GENERATE_COPY(values<std::string>({
+      "X A: v",
+      "A : v",
+      "A\t: v",
+      "Content-Length : 5",
+      "Transfer-Encoding : chunked",
+      std::string("A\0B: v", 6),
+      "A\x01"
+      "B: v",
+      "A\x7f"
+      "B: v",
+      "A\x80"
+      "B: v",
+      "\"A\": v",
+      "(A): v",
+      "A/B: v",
+      "A@B: v",
+      "{A}: v",
+      ": v",
+      "A",
+  }));
+  INFO(line);
+  const std::string head = "HTTP/1.1 200 OK\r\nSignature: abc\r\n";
+  CHECK(get_answer(head + line + "\r\nContent-Length: 5\r\n\r\nwhole").end == exchange_end::broken);
+  CHECK(get_answer(head + "Content-Length: 5\r\n" + line + "\r\n\r\nwhole").end ==
+        exchange_end::broken);
+  CHECK(
+      get_answer(head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + line + "\r\n\r\n")
+          .end == exchange_end::broken);
+}
+
+// A later line that begins with a blank continues the value of the line before.
+TEST_CASE("an answer whose first field line begins with a blank ends the exchange") {
+  CHECK(get_answer("HTTP/1.1 200 OK\r\n A: v\r\nContent-Length: 5\r\n\r\nwhole").end ==
+        exchange_end::broken);
+}
+
+TEST_CASE("an answer with a control byte in the value of a field ends the exchange") {
+  const char byte = GENERATE('\0', '\x01', '\x08', '\x0b', '\x1f', '\x7f');
+  CHECK(get_answer(std::string("HTTP/1.1 200 OK\r\nA: v") + byte +
+                   "w\r\nContent-Length: 5\r\n\r\nwhole")
+            .end == exchange_end::broken);
+}
+
+TEST_CASE("an answer with every byte that a token may have in a field name is accepted") {
+  const std::string name = "!#$%&'*+-.^_`|~09azAZ";
+  const auto response =
+      get_answer("HTTP/1.1 200 OK\r\n" + name + ": v\r\nContent-Length: 5\r\n\r\nwhole");
+  REQUIRE(response.end == exchange_end::answered);
+  REQUIRE(response.headers.size() == 2);
+  CHECK(response.headers[0].name == name);
+  CHECK(response.headers[0].value == "v");
+  CHECK(response.body == "whole");
+}
+
+TEST_CASE("an answer whose field name arrives in parts is accepted") {
+  const std::string whole = "HTTP/1.1 200 OK\r\nNa-me: v\r\nContent-Length: 5\r\n\r\nwhole";
+  const auto begin = whole.find("Na-me");
+  for (auto split = begin; split <= begin + 6; ++split) {
+    INFO("split after " << split << " bytes");
+    asio::io_context context;
+    answering_server server(context);
+    server.text = whole.substr(0, split);
+    server.rest = whole.substr(split);
+    http_client client(context, 4, 100'000);
+    client_request request;
+    request.address = server.address();
+    request.method = "GET";
+    const auto response = exchange(context, client, request);
+    REQUIRE(response.end == exchange_end::answered);
+    REQUIRE(response.headers.size() == 2);
+    CHECK(response.headers[0].name == "Na-me");
+    CHECK(response.headers[0].value == "v");
+    CHECK(response.body == "whole");
+  }
+}
--- a/unittests/platform/cut_answer_test.cpp
+++ b/unittests/platform/cut_answer_test.cpp
@@ -86,3 +86,39 @@
     CHECK(server.requests == requests_before + 2);
   }
 }
+
+// Guards against an answer that a caller gets although its head is not valid HTTP.
+TEST_CASE("a caller gets no answer whose head is malformed", "[.cut_answer]") {
+  test_cluster cluster;
+  cutting_server server(cluster.context, "127.0.0.3");
+  // A daemon that is destroyed during its first reads leaks them.
+  cluster.report("ready", 1);
+  REQUIRE(cluster.call_until("/a/x", 200).status == 200);
+  cluster.nodes[1].reset();
+  cluster.nodes[1] =
+      std::make_unique<running_node>(cluster.settings("127.0.0.3", "nox78a", server.port()));
+  server.text = "HTTP/1.1 200 OK\r\nServer-Stamp: abc\r\nContent-Length: 5\r\n\r\nwhole";
+  cluster.report("ready", 2);
+  REQUIRE(cluster.call_until("/a/x", 200).body == "whole");
+  const std::string stamp = "Server-Stamp: abc\r\n";
+  for (const auto& text : {
+           "HTTP/1.1 000 X\r\n" + stamp + "Content-Length: 5\r\n\r\nwhole",
+           "HTTP/1.1 600 X\r\n" + stamp + "Content-Length: 5\r\n\r\nwhole",
+           "HTTP/1.1 200 OK\r\n" + stamp + "X A: v\r\nContent-Length: 5\r\n\r\nwhole",
+           "HTTP/1.1 200 OK\r\n" + stamp + "Content-Length : 5\r\n\r\nwhole",
+           "HTTP/1.1 200 OK\r\n" + stamp +
+               "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+           "HTTP/1.1 200 OK\r\n" + stamp + "A\x01: v\r\nContent-Length: 5\r\n\r\nwhole",
+       }) {
+    INFO(text);
+    server.text = text;
+    for (const auto& [path, method] : {std::pair("/a/x", "GET"), std::pair("/b/x", "POST")}) {
+      const auto requests_before = server.requests;
+      const auto response = cluster.call(path, method);
+      CHECK(response.end == net::exchange_end::answered);
+      CHECK(response.status == 502);
+      CHECK(net::find_field(response.headers, "Server-Stamp") == nullptr);
+      CHECK(server.requests == requests_before + 1);
+    }
+  }
+}
