Reject answers of the platform's service with a field name that is no token

A row was read from an answer whose length had been ignored.

Change: such a line aborts the transfer, which counts as a lost answer. A line that begins with a blank continues the value before it, as in the other client; it was taken for a field of its own.

Handled already, tests kept: status 000 and 600, a head of 4 MB, an answer to a write that is reset during the upload.

--- a/lib/net/platform_transfer.cpp
+++ b/lib/net/platform_transfer.cpp
@@ -8,6 +8,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
+#include "acaciasill/net/http_text.h"
 
 namespace acaciasill::net {
 namespace {
@@ -21,6 +22,35 @@
   (void)result;
 }
 
+std::string strip(std::string_view text) {
+  return std::string(absl::StripAsciiWhitespace(absl::string_view(text.data(), text.size())));
+}
+
+// Adds a line of the head or of a trailer, as libcurl passes it. Returns false if the line is none
+// that HTTP allows.
+bool add_header_line(std::vector<wire::header_field>& headers, std::string_view line) {
+  if (line.starts_with("HTTP/")) {
+    return true;
+  }
+  const bool continues_value = line.starts_with(' ') || line.starts_with('\t');
+  if (continues_value && !headers.empty()) {
+    auto& value = headers.back().value;
+    value = strip(value + " " + strip(line));
+    return true;
+  }
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return strip(line).empty();
+  }
+  if (!is_field_name(line.substr(0, colon))) {
+    return false;
+  }
+  if (headers.size() < max_header_lines) {
+    headers.push_back({std::string(line.substr(0, colon)), strip(line.substr(colon + 1))});
+  }
+  return true;
+}
+
 // Whether libcurl reports the error before it sends any byte of the request.
 bool is_before_sending(CURLcode code) {
   return code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
@@ -91,14 +121,10 @@
 
 std::size_t platform_transfer::append_header(const char* bytes, std::size_t size, std::size_t count,
                                              void* transfer) {
-  auto& headers = static_cast<platform_transfer*>(transfer)->response_.headers;
-  const std::string line(bytes, size * count);
-  const auto colon = line.find(':');
-  if (colon != std::string::npos && headers.size() < max_header_lines) {
-    headers.push_back({line.substr(0, colon), std::string(absl::StripAsciiWhitespace(
-                                                  absl::string_view(line).substr(colon + 1)))});
-  }
-  return size * count;
+  constexpr std::size_t abort_transfer = 0;
+  auto& self = *static_cast<platform_transfer*>(transfer);
+  const std::string_view line(bytes, size * count);
+  return add_header_line(self.response_.headers, line) ? line.size() : abort_transfer;
 }
 
 transfer_multi::transfer_multi() {
