Do not read the fields of an interim response as those of the answer

Change: each status line begins a new set of fields.

Before: the new test failed, whose interim response states another version than the answer. After: it passes.

--- a/lib/net/platform_transfer.cpp
+++ b/lib/net/platform_transfer.cpp
@@ -30,6 +30,8 @@
 // that HTTP allows.
 bool add_header_line(std::vector<wire::header_field>& headers, std::string_view line) {
   if (line.starts_with("HTTP/")) {
+    // The fields of an interim response do not belong to the final one.
+    headers.clear();
     return true;
   }
   const bool continues_value = line.starts_with(' ') || line.starts_with('\t');
--- a/unittests/net/platform_answer_test.cpp
+++ b/unittests/net/platform_answer_test.cpp
@@ -98,6 +98,14 @@
         platform_answer{1, platform_end::done, {{"k", "v", 3}}, ""});
 }
 
+TEST_CASE("the fields of an interim response are not those of the final one") {
+  const running_server server("HTTP/1.1 103 Early Hints\r\nETag: \"7\"\r\n\r\n"
+                              "HTTP/1.1 200 OK\r\nETag: \"3\"\r\nContent-Length: 1\r\n\r\nv",
+                              after_answer::close);
+  CHECK(send_and_wait(server, read_row{"k"}) ==
+        platform_answer{1, platform_end::done, {{"k", "v", 3}}, ""});
+}
+
 TEST_CASE("a write is not confirmed by an answer that is reset during the upload") {
   const running_server server("HTTP/1.1 200 OK\r\nETag: \"1\"\r\n\r\n", after_answer::reset);
   const std::string large(12'000'000, 'u');
