Count no answer with a malformed head in the load tool

Its reports were wrong where a daemon passed such an answer on.

Change: such a head ends the call as lost, by the checks of the daemon's client. Answers that end in the middle were handled; the test of them is kept.

--- a/lib/net/http_load_connection.cpp
+++ b/lib/net/http_load_connection.cpp
@@ -5,10 +5,14 @@
 #include <asio/write.hpp>
 #include <http_parser.h>
 
+#include "acaciasill/net/http_text.h"
+
 namespace acaciasill::net {
 namespace {
 
 constexpr std::size_t read_buffer_bytes = 16384;
+// Result of a parser callback that ends the call.
+constexpr int parser_failure = -1;
 
 bool equals_ignore_case(const std::string& left, const char* right) {
   return strcasecmp(left.c_str(), right) == 0;
@@ -51,6 +55,10 @@
 
   static int on_field(http_parser* state, const char* data, std::size_t size) {
     auto& self = get_parser(state);
+    // The name may arrive in parts, which may be empty.
+    if (size != 0 && !is_field_name({data, size})) {
+      return parser_failure;
+    }
     if (self.in_value) {
       self.store_header();
     }
@@ -67,7 +75,7 @@
 
   static int on_headers(http_parser* state) {
     get_parser(state).store_header();
-    return 0;
+    return is_valid_status(state->status_code) ? 0 : parser_failure;
   }
 
   static int on_body(http_parser* state, const char* data, std::size_t size) {
--- a/unittests/net/answering_server.h
+++ b/unittests/net/answering_server.h
@@ -52,22 +52,32 @@
                                return;
                              }
                              buffer->erase(0, size);
-                             asio::write(*socket, asio::buffer(text), error);
-                             if (!rest.empty()) {
-                               send_rest(socket);
-                               return;
-                             }
-                             if (then == after_answer::keep_open) {
-                               serve(socket, buffer);
-                               return;
-                             }
-                             if (then == after_answer::reset) {
-                               socket->set_option(asio::socket_base::linger(true, 0));
-                             }
-                             socket->close();
+                             send_text(socket, buffer);
                            });
   }
 
+  void send_text(const std::shared_ptr<asio::ip::tcp::socket>& socket,
+                 const std::shared_ptr<std::string>& buffer) {
+    asio::async_write(*socket, asio::buffer(text),
+                      [this, socket, buffer](asio::error_code error, std::size_t /*size*/) {
+                        if (error) {
+                          return;
+                        }
+                        if (!rest.empty()) {
+                          send_rest(socket);
+                          return;
+                        }
+                        if (then == after_answer::keep_open) {
+                          serve(socket, buffer);
+                          return;
+                        }
+                        if (then == after_answer::reset) {
+                          socket->set_option(asio::socket_base::linger(true, 0));
+                        }
+                        socket->close();
+                      });
+  }
+
   void send_rest(const std::shared_ptr<asio::ip::tcp::socket>& socket) {
     pause_.expires_after(std::chrono::milliseconds(10));
     pause_.async_wait([this, socket](asio::error_code error) {
