Wait for the answer after an interim response in the load tool

Change: an interim response is discarded, with its fields.

Before: 3 checks of the new test failed. After: it passes.

--- a/lib/net/http_load_connection.cpp
+++ b/lib/net/http_load_connection.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t read_buffer_bytes = 16384;
+constexpr unsigned first_final_status = 200;
 // Result of a parser callback that ends the call.
 constexpr int parser_failure = -1;
 
@@ -85,6 +86,10 @@
 
   static int on_complete(http_parser* state) {
     auto& self = get_parser(state);
+    if (state->status_code < first_final_status) {
+      self.response = load_response{};
+      return 0;
+    }
     self.complete = true;
     self.response.status = state->status_code;
     self.response.keep_alive = http_should_keep_alive(state) != 0;
--- a/unittests/net/http_load_connection_test.cpp
+++ b/unittests/net/http_load_connection_test.cpp
@@ -59,6 +59,19 @@
   CHECK(get_answer(text).result == transport_result::connection_lost);
 }
 
+TEST_CASE("the load tool does not take an interim response for the answer") {
+  asio::io_context context;
+  answering_server server(context);
+  server.text = "HTTP/1.1 100 Continue\r\nx-outcome: not-run\r\n\r\n";
+  server.rest = "HTTP/1.1 200 OK\r\nx-outcome: completed\r\nContent-Length: 5\r\n\r\nwhole";
+  const auto connection = std::make_shared<http_load_connection>(context, server.address());
+  const auto response = send(context, *connection);
+  CHECK(response.result == transport_result::answered);
+  CHECK(response.status == 200);
+  CHECK(response.outcome == "completed");
+  CHECK(response.body == "whole");
+}
+
 TEST_CASE("the load tool counts no answer that ends in the middle") {
   const std::string whole =
       "HTTP/1.1 200 OK\r\nx-outcome: completed\r\nContent-Length: 5\r\n\r\nwhole";
