--- a/lib/net/http_load_connection.cpp
+++ b/lib/net/http_load_connection.cpp
@@ -93,6 +93,7 @@
     self.complete = true;
     self.response.status = state->status_code;
     self.response.keep_alive = http_should_keep_alive(state) != 0;
+    http_parser_pause(state, 1);
     return 0;
   }
 
@@ -108,7 +109,13 @@
       callbacks.on_message_complete = &on_complete;
       return callbacks;
     }();
-    return http_parser_execute(&state, &settings, data, size) == size;
+    const auto parsed = http_parser_execute(&state, &settings, data, size);
+    if (complete) {
+      // Bytes after the answer belong to no call.
+      response.keep_alive = response.keep_alive && parsed == size;
+      return true;
+    }
+    return parsed == size;
   }
 };
 
--- a/unittests/net/http_load_connection_test.cpp
+++ b/unittests/net/http_load_connection_test.cpp
@@ -72,6 +72,21 @@
   CHECK(response.body == "whole");
 }
 
+TEST_CASE("the load tool does not join bytes after an answer to it or use the connection again") {
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+  const auto rest = GENERATE_COPY(values<std::string>({answer, "HTTP/1.1 200 OK\r\n", "x"}));
+  INFO(rest);
+  asio::io_context context;
+  answering_server server(context);
+  server.text = answer + rest;
+  server.then = after_answer::keep_open;
+  const auto connection = std::make_shared<http_load_connection>(context, server.address());
+  const auto response = send(context, *connection);
+  CHECK(response.result == transport_result::answered);
+  CHECK(response.body == "whole");
+  CHECK_FALSE(connection->is_open());
+}
+
 TEST_CASE("the load tool counts no answer that ends in the middle") {
   const std::string whole =
       "HTTP/1.1 200 OK\r\nx-outcome: completed\r\nContent-Length: 5\r\n\r\nwhole";
