Limit the body of an answer in the load tool

acaciasill-load kept every byte of a body without end until the deadline of the call.

Change: a body over 16 MiB, the largest that a daemon takes from a backend server, ends the call as lost. A head is limited by the parser.

Before: 2 checks of the new test failed (ended by its own limit of time). After: it passes.

--- a/lib/net/http_load_connection.cpp
+++ b/lib/net/http_load_connection.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t read_buffer_bytes = 16384;
+// Limit on the body of an answer, the largest that a daemon accepts from a backend server.
+constexpr std::size_t max_response_body_bytes = std::size_t{16} << 20U;
 constexpr unsigned first_final_status = 200;
 // Result of a parser callback that ends the call.
 constexpr int parser_failure = -1;
@@ -80,7 +82,11 @@
   }
 
   static int on_body(http_parser* state, const char* data, std::size_t size) {
-    get_parser(state).response.body.append(data, size);
+    auto& body = get_parser(state).response.body;
+    if (body.size() + size > max_response_body_bytes) {
+      return parser_failure;
+    }
+    body.append(data, size);
     return 0;
   }
 
--- a/unittests/net/http_load_connection_test.cpp
+++ b/unittests/net/http_load_connection_test.cpp
@@ -87,6 +87,16 @@
   CHECK_FALSE(connection->is_open());
 }
 
+TEST_CASE("the load tool gives up an answer without end") {
+  const auto text = GENERATE(values<std::string>({
+      "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+      "HTTP/1.1 200 OK\r\n\r\n",
+  }));
+  CHECK(
+      get_answer(text + std::string(std::size_t{24} << 20U, 'x'), after_answer::keep_open).result ==
+      transport_result::connection_lost);
+}
+
 TEST_CASE("the load tool counts no answer that ends in the middle") {
   const std::string whole =
       "HTTP/1.1 200 OK\r\nx-outcome: completed\r\nContent-Length: 5\r\n\r\nwhole";
