Check the answers that other daemons pass on

While two builds run side by side, that daemon may be one that does not check its server's answers. A value with a line break became a field of its own.

Ruled out: a check in the codec or the link. A frame that fails there closes the connection, which would end the calls of others on it; and replies between daemons that are no answers have no status.

--- a/include/acaciasill/net/http_text.h
+++ b/include/acaciasill/net/http_text.h
@@ -54,6 +54,9 @@
 // accepts blanks.
 bool is_field_name(std::string_view text);
 
+// Whether the text is a valid field value: without control characters other than tabs.
+bool is_field_value(std::string_view text);
+
 // Returns the value of the first field with the name, ignoring case, or nullptr.
 const std::string* find_field(const std::vector<wire::header_field>& fields, std::string_view name);
 
--- a/lib/daemon/entry_call.cpp
+++ b/lib/daemon/entry_call.cpp
@@ -1,13 +1,22 @@
 #include "entry_call.h"
 
+#include <algorithm>
+
 #include "acaciasill/daemon/trace.h"
 #include "acaciasill/net/call_headers.h"
+#include "acaciasill/net/http_text.h"
 #include "acaciasill/support/log.h"
 
 namespace acaciasill::daemon {
 
 using support::result_code;
 
+namespace {
+
+constexpr std::uint16_t first_final_status = 200;
+
+} // namespace
+
 bool upstream_failed(const wire::call_reply& reply) {
   switch (reply.code) {
   case result_code::backend_unreachable:
@@ -47,6 +56,29 @@
           (reply.code == result_code::deadline_exceeded || reply.code == result_code::cancelled));
 }
 
+bool has_malformed_answer(const wire::call_reply& reply) {
+  const bool has_answer =
+      (reply.outcome == wire::outcome::completed && reply.code == result_code::ok) ||
+      (reply.outcome == wire::outcome::failed && reply.code == result_code::backend_failed);
+  if (!has_answer) {
+    return false;
+  }
+  const bool has_final_status =
+      reply.http_status >= first_final_status && net::is_valid_status(reply.http_status);
+  return !has_final_status ||
+         !std::all_of(reply.headers.begin(), reply.headers.end(), [](const auto& field) {
+           return net::is_field_name(field.name) && net::is_field_value(field.value);
+         });
+}
+
+void discard_answer(wire::call_reply& reply, bool idempotent) {
+  reply.outcome = wire::outcome::unknown;
+  reply.code = idempotent ? result_code::backend_failed : result_code::outcome_unknown;
+  reply.http_status = support::describe(reply.code).http_status;
+  reply.headers.clear();
+  reply.body.clear();
+}
+
 void log_call_end(const entry_call& call, const wire::call_reply& reply, support::time_point now,
                   std::uint32_t dropped) {
   const auto& request = call.request;
--- a/lib/daemon/entry_call.h
+++ b/lib/daemon/entry_call.h
@@ -86,6 +86,13 @@
 // Whether the reply was generated locally because no reply was received.
 bool reply_was_lost(const wire::call_reply& reply);
 
+// Whether the reply holds an answer of the backend server that is not valid HTTP. The daemon beside
+// the server may be of a build that does not check answers.
+bool has_malformed_answer(const wire::call_reply& reply);
+
+// Removes the answer from the reply, so that the call ends as if the server had not answered.
+void discard_answer(wire::call_reply& reply, bool idempotent);
+
 // Logs the end of a call; dropped is the number of lines suppressed before this one.
 void log_call_end(const entry_call& call, const wire::call_reply& reply, support::time_point now,
                   std::uint32_t dropped);
--- a/lib/net/http_text.cpp
+++ b/lib/net/http_text.cpp
@@ -78,6 +78,12 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), is_token_character);
 }
 
+bool is_field_value(std::string_view text) {
+  return std::none_of(text.begin(), text.end(), [](char character) {
+    return character != '\t' && absl::ascii_iscntrl(static_cast<unsigned char>(character));
+  });
+}
+
 const std::string* find_field(const std::vector<wire::header_field>& fields,
                               std::string_view name) {
   const auto found = std::find_if(fields.begin(), fields.end(), [name](const auto& field) {
