Read no body after a 204, 304 or interim response

An interim response with a length took the first bytes of the answer for its body.

Cause: the parser waits for a body that is stated, whatever the status.

Change: the client tells the parser that no body follows a status that cannot have one (RFC 9110, 6.4.1).

--- a/lib/net/client_connection.cpp
+++ b/lib/net/client_connection.cpp
@@ -20,6 +20,8 @@
 // Margin before the keep-alive timeout of the server within which a connection is not reused.
 constexpr support::milliseconds keep_alive_margin{500};
 constexpr std::uint16_t first_final_status = 200;
+constexpr std::uint16_t status_no_content = 204;
+constexpr std::uint16_t status_not_modified = 304;
 // Number of interim responses and of responses to earlier requests that one exchange discards. A
 // server that sends more of them may never end.
 constexpr std::uint32_t max_discarded_messages = 16;
@@ -47,6 +49,13 @@
   set(TCP_KEEPCNT, unanswered_probes);
 }
 
+// Whether a response with the status can have a body. Others may state the length of one, which the
+// parser would wait for.
+bool may_have_body(unsigned status) {
+  return status >= first_final_status && status != status_no_content &&
+         status != status_not_modified;
+}
+
 bool needs_content_length(const client_request& request) {
   return !request.body.empty() || request.method == "POST" || request.method == "PUT" ||
          request.method == "PATCH";
@@ -270,7 +279,7 @@
   if (!is_valid_status(parser_.status_code)) {
     return parser_failure;
   }
-  return head_request_ ? no_body_follows : 0;
+  return head_request_ || !may_have_body(parser_.status_code) ? no_body_follows : 0;
 }
 
 int client_connection::on_body(std::string_view bytes) {
--- a/unittests/net/malformed_answer_test.cpp
+++ b/unittests/net/malformed_answer_test.cpp
@@ -127,3 +127,20 @@
     CHECK(response.body == "whole");
   }
 }
+
+TEST_CASE("an answer that cannot have a body ends with its head") {
+  const std::string status = GENERATE("204 No Content", "304 Not Modified");
+  const std::string field = GENERATE("Content-Length: 5", "Transfer-Encoding: chunked");
+  const auto response = get_answer("HTTP/1.1 " + status + "\r\n" + field + "\r\n\r\n");
+  CHECK(response.end == exchange_end::answered);
+  CHECK(response.body.empty());
+}
+
+TEST_CASE("an interim response takes no bytes of the answer for its body") {
+  const std::string field = GENERATE("Content-Length: 5", "Transfer-Encoding: chunked");
+  const auto response = get_answer("HTTP/1.1 103 Early Hints\r\n" + field +
+                                   "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+  REQUIRE(response.end == exchange_end::answered);
+  CHECK(response.status == 200);
+  CHECK(response.body == "whole");
+}
