Limit the memory of all incomplete answers together

Cause: each answer is collected up to 4 MiB before it is passed on, and nothing bounded all of them. A head of many short fields occupies some fifteen times the bytes that its limit counts.

Ruled out: heads without end, interim responses and answers to other requests without end; each exchange is ended (endless_answer_test). Clients of the store, of health checks and of copies have at most 8, 1 and 4 connections and so a bound of their own.

Change: the client of the backend server counts the memory of the answers that it is receiving. Beyond a quarter of the process's memory (memory_mb in the settings, 64 MiB without it) the largest one ends as too large: its caller gets 502, the others go on. A body whose stated length is over the limit ends at once and not after 4 MiB.

--- a/include/acaciasill/daemon/call_plane.h
+++ b/include/acaciasill/daemon/call_plane.h
@@ -15,6 +15,7 @@
 #include "acaciasill/daemon/daemon_settings.h"
 #include "acaciasill/daemon/edge_protocol.h"
 #include "acaciasill/daemon/upstream_calls.h"
+#include "acaciasill/net/http_client.h"
 #include "acaciasill/net/http_server.h"
 #include "acaciasill/net/peer_listener.h"
 #include "acaciasill/net/peer_pool.h"
@@ -39,6 +40,8 @@
   std::string peer_listen;
   net::peer_settings peers;
   std::uint32_t max_body_bytes = 0;
+  // Limit on the memory of the backend server's incomplete answers on all threads, in bytes.
+  std::size_t max_buffered_bytes = net::default_max_buffered_bytes;
   operating_mode mode = operating_mode::protect;
 };
 
--- a/include/acaciasill/daemon/directory_daemon.h
+++ b/include/acaciasill/daemon/directory_daemon.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASILL_DAEMON_DIRECTORY_DAEMON_H
 #define ACACIASILL_DAEMON_DIRECTORY_DAEMON_H
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -37,6 +38,8 @@
   std::uint32_t threads = 1;
   // Maximum body size of a request or a response, in bytes.
   std::uint32_t max_body_bytes = std::uint32_t{4} << 20U;
+  // Memory that the process may use, in MiB; 0 if it is not known.
+  std::uint32_t memory_mb = 0;
   // Maximum duration of a graceful stop; the platform kills the process afterwards.
   support::milliseconds stop_time{6000};
   // Time within which the platform's callers detect that the daemon is stopping.
@@ -47,6 +50,10 @@
   bool operator==(const directory_daemon_settings&) const = default;
 };
 
+// Limit on the memory of the backend server's incomplete answers, in bytes: a quarter of the
+// process's memory, or the default of the HTTP client.
+std::size_t max_buffered_bytes(const directory_daemon_settings& settings);
+
 // A configuration read from the platform.
 struct published_configuration {
   // Increases with each configuration; an older configuration never replaces a newer one.
--- a/include/acaciasill/net/http_client.h
+++ b/include/acaciasill/net/http_client.h
@@ -54,7 +54,7 @@
   not_sent,  // No connection was established, so no byte was sent.
   timed_out, // The timeout expired; bytes may have been sent.
   broken,    // The connection failed or the response was malformed; bytes may have been sent.
-  too_large, // The response exceeded a size limit.
+  too_large, // The response exceeded a size limit, or all responses together theirs.
   cancelled, // The caller cancelled the exchange.
 };
 
@@ -77,16 +77,24 @@
   std::uint64_t mismatched_responses = 0;
   // Responses without the correlation field of their request.
   std::uint64_t uncorrelated_responses = 0;
+  // Exchanges ended because the incomplete responses exceeded their limit together.
+  std::uint64_t over_buffer_limit = 0;
   // Bytes received after a complete response or on an idle connection.
   std::uint64_t excess_bytes = 0;
 };
 
+// Default limit on the memory of the incomplete responses of a client, in bytes.
+inline constexpr std::size_t default_max_buffered_bytes = std::size_t{64} << 20U;
+
 // Sends requests concurrently. All functions must be called on the thread of the io_context.
 class http_client {
 public:
   // max_connections limits the open connections per address, idle ones included; further exchanges
-  // wait for a free connection. max_body_bytes limits the body of a response.
-  http_client(asio::io_context& context, std::size_t max_connections, std::size_t max_body_bytes);
+  // wait for a free connection. max_body_bytes limits the body of a response, max_buffered_bytes
+  // the memory of all responses that are incomplete: beyond it, the largest one ends its exchange
+  // with exchange_end::too_large.
+  http_client(asio::io_context& context, std::size_t max_connections, std::size_t max_body_bytes,
+              std::size_t max_buffered_bytes = default_max_buffered_bytes);
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
--- a/include/acaciasill/net/http_text.h
+++ b/include/acaciasill/net/http_text.h
@@ -39,6 +39,9 @@
   bool operator==(const http_message&) const = default;
 };
 
+// Memory that a message under construction occupies, in bytes.
+std::size_t memory_bytes(const http_message& message);
+
 // Append data passed by the parser callbacks. Each returns 0, or 1 if a limit is exceeded; in that
 // case it sets the error of the message.
 int append_target(http_message& message, std::string_view bytes, const message_limits& limits);
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -68,7 +68,7 @@
   explicit implementation(const daemon_settings& settings)
       : settings_(settings), peer_settings_(peer_settings_of(settings)), metrics_(settings.threads),
         plane_({settings.threads, settings.peer_listen, peer_settings_, settings.max_body_bytes,
-                settings.mode},
+                net::default_max_buffered_bytes, settings.mode},
                native_protocol(), board_, metrics_),
         control_context_(1), signals_(control_context_), housekeeping_(control_context_),
         close_timer_(control_context_) {}
--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -48,7 +48,7 @@
       : context_(context), settings_(settings), adapter_(std::move(adapter)),
         metrics_(settings.threads),
         plane_({settings.threads, settings.peer_listen, peer_settings_for_directory(),
-                settings.max_body_bytes, operating_mode::protect},
+                settings.max_body_bytes, max_buffered_bytes(settings), operating_mode::protect},
                adapter_.protocol, board_, metrics_),
         timer_(context), replica_client_(context, replica_connections, max_replica_answer_bytes),
         routing_{settings.name, settings.data_centre, {}}, crashes_(board_) {}
@@ -533,6 +533,12 @@
   std::atomic<support::duration::rep> last_request_{0};
 };
 
+std::size_t max_buffered_bytes(const directory_daemon_settings& settings) {
+  constexpr std::size_t memory_divisor = 4;
+  return settings.memory_mb == 0 ? net::default_max_buffered_bytes
+                                 : (std::size_t{settings.memory_mb} << 20U) / memory_divisor;
+}
+
 directory_daemon::directory_daemon(asio::io_context& control_context,
                                    const directory_daemon_settings& settings,
                                    platform_adapter adapter)
--- a/lib/net/client_connection.cpp
+++ b/lib/net/client_connection.cpp
@@ -1,6 +1,7 @@
 #include "client_connection.h"
 
 #include <charconv>
+#include <limits>
 #include <utility>
 
 #include <netinet/tcp.h>
@@ -247,9 +248,20 @@
     finish(exchange_end::broken, false);
     return;
   }
+  set_buffered_bytes(memory_bytes(message_));
+  if (shared_state_->buffered_bytes > shared_state_->max_buffered_bytes) {
+    // May close this connection.
+    shared_state_->on_buffer_limit();
+  }
   wait_until_readable();
 }
 
+// Records the memory of the incomplete response in the sum of all connections.
+void client_connection::set_buffered_bytes(std::size_t bytes) {
+  shared_state_->buffered_bytes += bytes - buffered_bytes_;
+  buffered_bytes_ = bytes;
+}
+
 // Handles end of stream, which completes a response without a length unless the connection failed.
 void client_connection::handle_eof() {
   const auto self = shared_from_this();
@@ -279,7 +291,15 @@
   if (!is_valid_status(parser_.status_code)) {
     return parser_failure;
   }
-  return head_request_ || !may_have_body(parser_.status_code) ? no_body_follows : 0;
+  if (head_request_ || !may_have_body(parser_.status_code)) {
+    return no_body_follows;
+  }
+  const bool states_length = parser_.content_length != std::numeric_limits<std::uint64_t>::max();
+  if (states_length && parser_.content_length > shared_state_->limits.max_body_bytes) {
+    message_.error = message_error::body_too_large;
+    return parser_failure;
+  }
+  return 0;
 }
 
 int client_connection::on_body(std::string_view bytes) {
@@ -349,6 +369,7 @@
     result.response.body = std::move(message_.body);
   }
   message_ = {};
+  set_buffered_bytes(0);
   output_ = {};
   output_offset_ = 0;
   idle_since_ = support::monotonic_now();
@@ -372,6 +393,9 @@
 
 void client_connection::close() {
   closed_ = true;
+  // Operations of the socket that still have to end keep the connection alive.
+  message_ = {};
+  set_buffered_bytes(0);
   asio::error_code ignored;
   socket_.close(ignored);
 }
--- a/lib/net/client_connection.h
+++ b/lib/net/client_connection.h
@@ -21,6 +21,11 @@
 // State shared by the connections of one client.
 struct client_shared_state {
   message_limits limits;
+  // Limit on the memory of all incomplete responses together, in bytes.
+  std::size_t max_buffered_bytes = 0;
+  std::size_t buffered_bytes = 0;
+  // Called when the limit is exceeded; closes connections until the rest is below it.
+  std::function<void()> on_buffer_limit;
   http_client_counters counters;
   std::array<char, 65536> read_buffer{};
 };
@@ -59,6 +64,9 @@
   // Whether any byte of the current request may have been sent.
   bool has_sent() const { return sent_; }
 
+  // Memory of the incomplete response, in bytes.
+  std::size_t buffered_bytes() const { return buffered_bytes_; }
+
   // Time until which the connection may be reused, from the Keep-Alive header of the server.
   support::time_point usable_until() const { return usable_until_; }
   support::time_point idle_since() const { return idle_since_; }
@@ -81,6 +89,7 @@
   // Returns the correlation field of the response; null if it has none.
   const std::string* find_correlation() const;
   int discard_message();
+  void set_buffered_bytes(std::size_t bytes);
   void finish(exchange_end end, bool reusable);
   void handle_idle_close();
   void parse_keep_alive_timeout();
@@ -93,6 +102,7 @@
   http_message message_;
   // Number of messages that the current exchange has discarded.
   std::uint32_t discarded_messages_ = 0;
+  std::size_t buffered_bytes_ = 0;
   bool head_request_ = false;
   std::string correlation_field_;
   std::string correlation_value_;
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -12,6 +12,8 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
+#include "acaciasill/support/log.h"
+
 #include "client_connection.h"
 
 namespace acaciasill::net {
@@ -25,6 +27,7 @@
 // Idle time after which a connection is closed.
 constexpr support::seconds max_idle_time{8};
 constexpr std::size_t max_response_header_bytes = 65536;
+constexpr std::uint32_t buffer_log_lines_per_second = 2;
 
 // An exchange in progress.
 struct exchange {
@@ -50,11 +53,22 @@
 } // namespace
 
 struct http_client::implementation : std::enable_shared_from_this<http_client::implementation> {
-  implementation(asio::io_context& io_context, std::size_t connections, std::size_t max_body_bytes)
+  implementation(asio::io_context& io_context, std::size_t connections, std::size_t max_body_bytes,
+                 std::size_t max_buffered_bytes)
       : context(io_context), timer(io_context),
         max_connections(std::max<std::size_t>(1, connections)),
         shared_state(std::make_shared<client_shared_state>()) {
     shared_state->limits = {max_response_header_bytes, max_body_bytes};
+    shared_state->max_buffered_bytes = max_buffered_bytes;
+  }
+
+  // Must be called once, after construction.
+  void watch_buffer_limit() {
+    shared_state->on_buffer_limit = [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->end_largest_exchanges();
+      }
+    };
   }
 
   std::uint64_t send(client_request request, exchange_callback done) {
@@ -221,6 +235,39 @@
     assign_waiting(address);
   }
 
+  // Ends the exchanges with the largest incomplete responses until the rest is within the limit, so
+  // that a server that sends bytes without end does not fail the exchanges beside it.
+  void end_largest_exchanges() {
+    const auto buffered = [](const exchange_table::value_type& entry) {
+      return entry.second.connection ? entry.second.connection->buffered_bytes() : 0;
+    };
+    while (shared_state->buffered_bytes > shared_state->max_buffered_bytes) {
+      const auto largest = std::max_element(exchanges.begin(), exchanges.end(),
+                                            [&buffered](const auto& left, const auto& right) {
+                                              return buffered(left) < buffered(right);
+                                            });
+      if (largest == exchanges.end() || buffered(*largest) == 0) {
+        return;
+      }
+      ++shared_state->counters.over_buffer_limit;
+      log_over_buffer_limit(largest->second.request.address, buffered(*largest));
+      abort_exchange(largest, exchange_end::too_large);
+    }
+  }
+
+  void log_over_buffer_limit(const endpoint& address, std::size_t bytes) {
+    std::uint32_t dropped = 0;
+    if (buffer_log_budget.allow(support::monotonic_now(), dropped)) {
+      support::write_event(
+          support::log_level::warning, "http", "incomplete responses exceed their memory limit",
+          {{"server", address.address().to_string() + ":" + std::to_string(address.port())},
+           {"largest_bytes", std::to_string(bytes)},
+           {"all_bytes", std::to_string(shared_state->buffered_bytes)},
+           {"limit_bytes", std::to_string(shared_state->max_buffered_bytes)},
+           {"lines_dropped_before", std::to_string(dropped)}});
+    }
+  }
+
   void cancel(std::uint64_t id) {
     if (const auto found = exchanges.find(id); found != exchanges.end()) {
       abort_exchange(found, exchange_end::cancelled);
@@ -282,11 +329,15 @@
   std::set<std::pair<support::time_point, std::uint64_t>> deadlines;
   std::optional<support::time_point> armed_until;
   std::uint64_t last_id = 0;
+  support::log_rate_limiter buffer_log_budget{buffer_log_lines_per_second};
 };
 
 http_client::http_client(asio::io_context& context, std::size_t max_connections,
-                         std::size_t max_body_bytes)
-    : implementation_(std::make_shared<implementation>(context, max_connections, max_body_bytes)) {}
+                         std::size_t max_body_bytes, std::size_t max_buffered_bytes)
+    : implementation_(std::make_shared<implementation>(context, max_connections, max_body_bytes,
+                                                       max_buffered_bytes)) {
+  implementation_->watch_buffer_limit();
+}
 
 http_client::~http_client() {
   for (auto& [address, group] : implementation_->groups) {
--- a/lib/net/http_text.cpp
+++ b/lib/net/http_text.cpp
@@ -31,6 +31,11 @@
 
 } // namespace
 
+std::size_t memory_bytes(const http_message& message) {
+  return message.header_bytes + message.headers.capacity() * sizeof(wire::header_field) +
+         message.body.capacity();
+}
+
 int append_target(http_message& message, std::string_view bytes, const message_limits& limits) {
   if (!add_header_bytes(message, bytes.size(), limits)) {
     return 1;
