Wait for slowly read answers in a planned stop

Cause: a call counted as ended when its answer was handed to the HTTP server, and only calls keep a stopping daemon running. For a moment the answer was not even handed over when the call was counted as ended.

Ruled out: requests late in the grace, on kept and on new connections, idempotent or not. The new test sends them until the daemon ends: what a server ran was answered, the others got 503. This held before the change; the test is kept.

Change: connections with an unwritten answer count as calls in flight until the answer is written or the time of the stop is over, and a call ends after its answer is handed over.

--- a/cmake/acaciasill.cmake
+++ b/cmake/acaciasill.cmake
@@ -53,7 +53,7 @@
   add_test(NAME scale.control COMMAND control_tests "[scale]")
   add_test(NAME unit.daemon.permit_faults COMMAND daemon_tests "[.permit_faults]")
   set_tests_properties(unit.daemon.permit_faults PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203")
-  foreach(tag cut_answer invalid_reply lost_answer stated_rate stated_leaving crashing_request inner_call organisation_key)
+  foreach(tag cut_answer invalid_reply stopping lost_answer stated_rate stated_leaving crashing_request inner_call organisation_key)
     add_test(NAME unit.platform.${tag} COMMAND platform_tests "[.${tag}]")
     # The daemons of these tests listen at the same addresses and ports.
     set_tests_properties(unit.platform unit.platform.${tag} PROPERTIES
--- a/include/acaciasill/daemon/call_plane.h
+++ b/include/acaciasill/daemon/call_plane.h
@@ -77,6 +77,10 @@
   // Runs the function for each HTTP server, on the server's request thread.
   void for_each_server(const std::function<void(net::http_server&)>& function);
 
+  // Number of callers' connections with an answer that is not written completely. May be called
+  // from any thread.
+  std::size_t unwritten_answers() const;
+
   entry_calls& entry() { return *entry_; }
   upstream_calls& upstream() { return *upstream_; }
   const std::string& call_address() const { return call_address_; }
@@ -108,6 +112,10 @@
   std::vector<std::unique_ptr<net::http_server>> servers_;
 };
 
+// Number of calls that run or whose answers are not written completely. A stopping daemon waits for
+// them.
+std::uint64_t unanswered_calls(const board::call_board& board, const call_plane& plane);
+
 // Returns a seed from the system's random device.
 std::uint64_t random_seed();
 
--- a/include/acaciasill/net/http_server.h
+++ b/include/acaciasill/net/http_server.h
@@ -101,6 +101,10 @@
   // Makes every further response close its connection.
   void set_draining();
 
+  // Number of connections with a response that is not written completely. May be called from any
+  // thread.
+  std::size_t writing_connections() const;
+
   // Closes the connections without an outstanding request and returns the number still open.
   std::size_t close_idle();
 
--- a/lib/daemon/call_plane.cpp
+++ b/lib/daemon/call_plane.cpp
@@ -36,6 +36,12 @@
 
 thread_local std::size_t call_plane::current_thread_index = 0;
 
+std::uint64_t unanswered_calls(const board::call_board& board, const call_plane& plane) {
+  // In this order, since an answer is counted as unwritten before its call ends.
+  const auto in_flight = board.calls_in_flight.load(std::memory_order_acquire);
+  return in_flight + plane.unwritten_answers();
+}
+
 std::uint64_t random_seed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -153,6 +159,14 @@
   }
 }
 
+std::size_t call_plane::unwritten_answers() const {
+  std::size_t count = 0;
+  for (const auto& server : servers_) {
+    count += server->writing_connections();
+  }
+  return count;
+}
+
 std::vector<request_thread*> call_plane::threads() {
   std::vector<request_thread*> pointers;
   pointers.reserve(threads_.size());
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -330,7 +330,7 @@
     if (!stop_deadline_) {
       return;
     }
-    const auto in_flight = board_.calls_in_flight.load(std::memory_order_acquire);
+    const auto in_flight = unanswered_calls(board_, plane_);
     if (in_flight != reported_in_flight_) {
       reported_in_flight_ = in_flight;
       control_->handle(control::in_flight_reported{in_flight});
@@ -355,7 +355,7 @@
       if (error) {
         return;
       }
-      if (board_.calls_in_flight.load(std::memory_order_acquire) == 0) {
+      if (unanswered_calls(board_, plane_) == 0) {
         control_context_.stop();
         return;
       }
--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -487,7 +487,7 @@
     if (!stopping_since_) {
       return;
     }
-    const auto in_flight = board_.calls_in_flight.load(std::memory_order_acquire);
+    const auto in_flight = unanswered_calls(board_, plane_);
     const support::time_point last_request{
         support::duration(last_request_.load(std::memory_order_relaxed))};
     const auto step =
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -541,8 +541,9 @@
     const auto respond = std::move(call.respond);
     const auto request = std::move(call.request);
     remove_call(call);
-    board_.calls_in_flight.fetch_sub(1, std::memory_order_release);
     respond(environment_.protocol->answer_call(request, std::move(reply)));
+    // A stopping process may end as soon as no call is in flight, so the answer counts by then.
+    board_.calls_in_flight.fetch_sub(1, std::memory_order_release);
   }
 
   // Removes the call from the tables. The call is destroyed once its callbacks are.
--- a/lib/daemon/upstream_calls.cpp
+++ b/lib/daemon/upstream_calls.cpp
@@ -375,8 +375,9 @@
     record(home, call, reply);
     const auto respond = std::move(call.reply);
     calls_[home.index].erase(call.id);
-    board_.calls_in_flight.fetch_sub(1, std::memory_order_release);
     respond(std::move(reply));
+    // A stopping process may end as soon as no call is in flight, so the reply counts by then.
+    board_.calls_in_flight.fetch_sub(1, std::memory_order_release);
   }
 
   void add_load_report(wire::call_reply& reply, const running_call& call) {
--- a/lib/net/http_connection.cpp
+++ b/lib/net/http_connection.cpp
@@ -254,6 +254,7 @@
         asio::buffer(output_.data() + output_offset_, output_.size() - output_offset_), error);
     if (error == asio::error::would_block) {
       writing_ = true;
+      count_as_writing(true);
       socket_.async_wait(asio::ip::tcp::socket::wait_write,
                          [self = shared_from_this()](asio::error_code failure) {
                            self->writing_ = false;
@@ -276,9 +277,19 @@
   }
 }
 
+void http_connection::count_as_writing(bool has_output) {
+  if (std::exchange(counted_as_writing_, has_output) == has_output) {
+    return;
+  }
+  auto& count = shared_state_->writing_connections;
+  has_output ? count.fetch_add(1, std::memory_order_relaxed)
+             : count.fetch_sub(1, std::memory_order_relaxed);
+}
+
 void http_connection::finish_writing() {
   output_.clear();
   output_offset_ = 0;
+  count_as_writing(false);
   if (output_.capacity() > max_retained_output_bytes) {
     output_.shrink_to_fit();
   }
@@ -320,6 +331,7 @@
   if (std::exchange(closed_, true)) {
     return;
   }
+  count_as_writing(false);
   asio::error_code ignored;
   socket_.close(ignored);
   pending_.clear();
--- a/lib/net/http_connection.h
+++ b/lib/net/http_connection.h
@@ -2,6 +2,7 @@
 #define ACACIASILL_LIB_NET_HTTP_CONNECTION_H
 
 #include <array>
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -18,11 +19,14 @@
 // A connection of an HTTP server.
 namespace acaciasill::net {
 
-// State shared by the connections of one server; used only on the server's thread.
+// State shared by the connections of one server; used only on the server's thread except for the
+// atomic counter.
 struct server_shared_state {
   http_server_settings settings;
   http_server_callbacks callbacks;
   bool draining = false;
+  // Number of connections with a response that is not written completely.
+  std::atomic<std::size_t> writing_connections{0};
   // Read buffer shared by all connections; its contents are consumed before the next read.
   std::array<char, 65536> read_buffer{};
 };
@@ -72,6 +76,7 @@
   void write();
   void finish_writing();
   void shut_down_output();
+  void count_as_writing(bool has_output);
 
   asio::ip::tcp::socket socket_;
   std::shared_ptr<server_shared_state> shared_state_;
@@ -92,6 +97,7 @@
   std::string output_;
   std::size_t output_offset_ = 0;
   bool writing_ = false;
+  bool counted_as_writing_ = false;
   bool close_after_output_ = false;
   bool output_shut_down_ = false;
   bool closed_ = false;
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -173,6 +173,10 @@
   implementation_->shared_state->draining = true;
 }
 
+std::size_t http_server::writing_connections() const {
+  return implementation_->shared_state->writing_connections.load(std::memory_order_relaxed);
+}
+
 std::size_t http_server::close_idle() {
   for (const auto& connection : implementation_->open_connections()) {
     if (connection->is_idle()) {
--- a/unittests/platform/cluster_fixture.h
+++ b/unittests/platform/cluster_fixture.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASILL_UNITTESTS_PLATFORM_CLUSTER_FIXTURE_H
 #define ACACIASILL_UNITTESTS_PLATFORM_CLUSTER_FIXTURE_H
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -42,9 +43,14 @@
     thread_ = std::thread([this] {
       const board::rcu_reader_thread registration;
       context_.run();
+      has_stopped_.store(true);
     });
   }
 
+  // Whether a planned stop is complete. A process would end then; the request threads of the node
+  // go on until it is destroyed.
+  bool has_stopped() const { return has_stopped_.load(); }
+
   // Begins a planned stop, as on SIGTERM.
   void stop() {
     asio::post(context_, [this] { process_.stop(); });
@@ -58,6 +64,7 @@
 private:
   asio::io_context context_{1};
   node process_;
+  std::atomic<bool> has_stopped_{false};
   std::thread thread_;
 };
 
