Wait for replies to other daemons in a planned stop

A daemon that was stopped ended while it still held replies for another daemon, so that the caller there got 502 for a request that had run.

Change: a link with queued replies counts as an unwritten answer. A link without progress for three seconds is closed as before and counts no more.

Before: with the new count left out of the sum, the new test on the whole path got no whole reply after the stop.

--- a/include/acaciasill/net/peer_channel.h
+++ b/include/acaciasill/net/peer_channel.h
@@ -32,6 +32,9 @@
   // Receives the reason: peer_lost, peer_stalled, frame_corrupt, frame_too_large, or the argument
   // of close.
   std::function<void(support::result_code)> on_closed;
+  // Receives true when frames wait to be written, and false once all are written or the connection
+  // is closed; optional.
+  std::function<void(bool)> on_writing;
 };
 
 // Established connection that sends and receives frames. It batches queued frames into one write,
@@ -70,6 +73,7 @@
   void read();
   void process_received_bytes();
   void schedule_flush();
+  void set_writing(bool has_output);
   void flush();
   void write();
   void schedule_stall_check();
@@ -93,6 +97,7 @@
   std::uint64_t bytes_written_ = 0;
   support::time_point last_write_progress_{};
   bool flush_scheduled_ = false;
+  bool has_output_ = false;
   bool is_writing_ = false;
 };
 
--- a/include/acaciasill/net/peer_listener.h
+++ b/include/acaciasill/net/peer_listener.h
@@ -49,6 +49,8 @@
   std::atomic<std::uint64_t> corrupt_frames{0};
   std::atomic<std::uint64_t> stalled{0};
   std::atomic<std::uint64_t> in_flight{0};
+  // Connections with replies that are not written completely.
+  std::atomic<std::uint64_t> writing{0};
 };
 
 // Accepts and authenticates connections of peers and passes their calls to the handlers.
--- a/lib/daemon/call_plane.cpp
+++ b/lib/daemon/call_plane.cpp
@@ -160,7 +160,7 @@
 }
 
 std::size_t call_plane::unwritten_answers() const {
-  std::size_t count = 0;
+  std::size_t count = listener_->counters().writing.load(std::memory_order_relaxed);
   for (const auto& server : servers_) {
     count += server->writing_connections();
   }
--- a/lib/net/peer_channel.cpp
+++ b/lib/net/peer_channel.cpp
@@ -52,6 +52,7 @@
   socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
   socket_.close(ignored);
   stall_timer_.cancel();
+  set_writing(false);
   // A handler may be running, so the handlers are released in a later task of the executor.
   asio::post(socket_.get_executor(), [self = shared_from_this()] { self->handlers_ = {}; });
   handlers_.on_closed(reason);
@@ -103,7 +104,14 @@
   read();
 }
 
+void peer_channel::set_writing(bool has_output) {
+  if (std::exchange(has_output_, has_output) != has_output && handlers_.on_writing) {
+    handlers_.on_writing(has_output);
+  }
+}
+
 void peer_channel::schedule_flush() {
+  set_writing(!closed_);
   if (is_writing_ || flush_scheduled_ || closed_) {
     return;
   }
@@ -116,7 +124,11 @@
 }
 
 void peer_channel::flush() {
-  if (closed_ || is_writing_ || queued_output_.empty()) {
+  if (closed_ || is_writing_) {
+    return;
+  }
+  if (queued_output_.empty()) {
+    set_writing(false);
     return;
   }
   std::swap(queued_output_, current_write_);
--- a/lib/net/peer_link.cpp
+++ b/lib/net/peer_link.cpp
@@ -262,7 +262,8 @@
                      if (const auto link = weak.lock(); link && link->channel_.get() == channel) {
                        link->handle_closed(reason);
                      }
-                   }});
+                   },
+                   {}});
   nonce_ = wire::make_nonce();
   channel_->send(wire::hello{.nonce = nonce_});
 }
--- a/lib/net/peer_session.cpp
+++ b/lib/net/peer_session.cpp
@@ -74,6 +74,11 @@
                      if (const auto self = weak.lock()) {
                        self->handle_closed(reason);
                      }
+                   },
+                   [core = core_](bool has_output) {
+                     auto& count = core->counters.writing;
+                     has_output ? count.fetch_add(1, std::memory_order_relaxed)
+                                : count.fetch_sub(1, std::memory_order_relaxed);
                    }});
 }
 
--- a/unittests/net/peer_fixture.h
+++ b/unittests/net/peer_fixture.h
@@ -122,6 +122,12 @@
     REQUIRE(run_until(context_, has_accepted));
   }
   void connect(const net::peer_address& address) { socket_.connect(address); }
+  // Connects with a receive buffer of the size, in bytes.
+  void connect(const net::peer_address& address, int receive_buffer_bytes) {
+    socket_.open(address.protocol());
+    socket_.set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes));
+    socket_.connect(address);
+  }
   void close() { socket_.close(); }
   void write(std::string_view bytes) {
     asio::write(socket_, asio::buffer(bytes.data(), bytes.size()));
--- a/unittests/net/peer_listener_test.cpp
+++ b/unittests/net/peer_listener_test.cpp
@@ -231,3 +231,44 @@
   CHECK(other.is_closed());
   CHECK(test.listener->counters().refused == 1);
 }
+
+// A stopping process waits for these replies.
+TEST_CASE("a connection counts as writing until its replies are written", "[net]") {
+  // Together more than the sockets of both ends buffer.
+  constexpr std::size_t replies = 8;
+  constexpr std::size_t body_bytes = 4'000'000;
+  auto settings = unauthenticated_settings();
+  settings.max_backlog_bytes = 2 * replies * body_bytes;
+  raw_caller_fixture test(settings);
+  const auto& writing = test.listener->counters().writing;
+  test.caller.perform_handshake();
+  for (std::size_t call = 1; call <= replies; ++call) {
+    test.send(call);
+  }
+  REQUIRE(test.has_calls(replies));
+  CHECK(writing == 0);
+  wire::call_reply reply;
+  reply.outcome = outcome::completed;
+  reply.body.assign(body_bytes, 'x');
+  for (const auto& call : test.recorder.calls) {
+    call.respond(reply);
+  }
+  CHECK(run_until(test.context, [&writing] { return writing == 1; }));
+  for (std::size_t call = 1; call <= replies; ++call) {
+    CHECK(writing == 1);
+    REQUIRE(test.caller.read());
+  }
+  CHECK(run_until(test.context, [&writing] { return writing == 0; }));
+}
+
+TEST_CASE("a connection that is lost does not count as writing", "[net]") {
+  raw_caller_fixture test;
+  test.caller.perform_handshake();
+  test.send(5);
+  REQUIRE(test.has_calls(1));
+  wire::call_reply reply;
+  reply.body.assign(4'000'000, 'x');
+  test.recorder.calls[0].respond(reply);
+  test.caller.close();
+  CHECK(run_until(test.context, [&test] { return test.listener->counters().writing == 0; }));
+}
--- a/unittests/platform/stopping_test.cpp
+++ b/unittests/platform/stopping_test.cpp
@@ -7,6 +7,8 @@
 #include <asio.hpp>
 #include <catch2/catch.hpp>
 
+#include "net/peer_fixture.h"
+
 #include "cluster_fixture.h"
 
 // Planned stops of the daemon that callers use, while the server of their requests is on another
@@ -164,3 +166,45 @@
   }
   CHECK(answer.size() == head_end + 4 + body_bytes);
 }
+
+TEST_CASE("replies that another daemon reads slowly are complete before a stopping daemon ends",
+          "[.stopping]") {
+  constexpr std::size_t body_bytes = 3'900'000;
+  constexpr std::uint64_t calls = 2;
+  constexpr int receive_buffer_bytes = 32768;
+  // Longer than a stop without any request takes, shorter than the time until a link without
+  // progress is closed.
+  constexpr std::chrono::milliseconds pause{2800};
+  test_cluster cluster;
+  cluster.report("ready", 1, slots);
+  REQUIRE(cluster.call_until("/a/x", 200).status == 200);
+  const working_server server(cluster, std::string(body_bytes, 'x'));
+  tests::raw_endpoint peer(cluster.context);
+  peer.connect({asio::ip::make_address("127.0.0.3"), cluster.first_port}, receive_buffer_bytes);
+  peer.perform_handshake();
+  for (std::uint64_t call = 1; call <= calls; ++call) {
+    auto request = tests::request_with(call);
+    request.correlation = call;
+    request.service = encode_name("nox78a");
+    request.method = "GET";
+    request.target = "/a/x";
+    request.headers = {{"Request-Id", "call-" + std::to_string(call)}};
+    request.time_left_us = 9'000'000;
+    peer.write(wire::encode(request));
+  }
+  REQUIRE(tests::run_until(
+      cluster.context, [&server] { return server.has_run("call-1") && server.has_run("call-2"); }));
+  cluster.context.restart();
+  cluster.context.run_for(2 * work_time);
+  cluster.nodes[1]->stop();
+  cluster.context.restart();
+  cluster.context.run_for(pause);
+  if (cluster.nodes[1]->has_stopped()) {
+    cluster.nodes[1].reset();
+  }
+  for (std::uint64_t call = 1; call <= calls; ++call) {
+    const auto frame = peer.read();
+    REQUIRE(frame);
+    CHECK(std::get<wire::call_reply>(*frame).body.size() == body_bytes);
+  }
+}
