Reject a copy of a table whose values are nested deeper than an answer's

An answer of some MiB of nested arrays ended the process, and with it the requests of its callers; the answer may have 16 MiB. Only daemons write these answers, so no one has seen it yet.

Ruled out: maps, which no answer has (rejected by their type, but read by the same recursion first), and the JSON answers of the store, whose parser does not recurse.

Change: a first pass without building values rejects a level below the third, and every map.

Before: the new test ended with a segmentation fault. After: it passes.

--- a/lib/wire/table_answer.cpp
+++ b/lib/wire/table_answer.cpp
@@ -24,6 +24,37 @@
   return {bytes.begin(), bytes.end()};
 }
 
+// Nesting of an answer: the answer, its rows, and each row.
+constexpr int max_depth = 3;
+
+// Checks that values are not nested deeper than in an answer. The parser recurses for each level.
+class depth_check final : public json::json_sax_t {
+public:
+  bool start_array(std::size_t /*size*/) override { return ++depth_ <= max_depth; }
+  bool end_array() override {
+    --depth_;
+    return true;
+  }
+  // An answer has no objects.
+  bool start_object(std::size_t /*size*/) override { return false; }
+  bool end_object() override { return false; }
+  bool key(string_t& /*name*/) override { return false; }
+  bool null() override { return true; }
+  bool boolean(bool /*value*/) override { return true; }
+  bool number_integer(number_integer_t /*value*/) override { return true; }
+  bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
+  bool number_float(number_float_t /*value*/, const string_t& /*text*/) override { return true; }
+  bool string(string_t& /*value*/) override { return true; }
+  bool binary(binary_t& /*value*/) override { return true; }
+  bool parse_error(std::size_t /*position*/, const std::string& /*last_token*/,
+                   const json::exception& /*error*/) override {
+    return false;
+  }
+
+private:
+  int depth_ = 0;
+};
+
 } // namespace
 
 std::string encode_table_answer(const control::store_result& result) {
@@ -38,6 +69,11 @@
 }
 
 absl::StatusOr<control::store_result> decode_table_answer(std::string_view bytes) {
+  depth_check check;
+  if (!json::sax_parse(bytes.begin(), bytes.end(), &check, json::input_format_t::msgpack)) {
+    return support::make_error(support::result_code::frame_corrupt,
+                               "values of a table answer are malformed or nested too deep");
+  }
   try {
     const auto parsed = json::from_msgpack(bytes.begin(), bytes.end());
     control::store_result result;
--- /dev/null
+++ b/unittests/wire/table_answer_test.cpp
@@ -0,0 +1,47 @@
+#include "acaciasill/wire/table_answer.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "acaciasill/support/result_code.h"
+
+using namespace acaciasill;
+
+namespace {
+
+// MessagePack: an array of one element, a map of one element, an array of three elements.
+constexpr char array_of_one = '\x91';
+constexpr char map_of_one = '\x81';
+constexpr char array_of_three = '\x93';
+
+} // namespace
+
+// Guards against an answer that ends the process by the depth of its values.
+TEST_CASE("an answer with deeply nested values is corrupt", "[wire]") {
+  constexpr std::size_t levels = std::size_t{8} << 20U;
+  const char byte = GENERATE(array_of_one, map_of_one);
+  std::string nested(levels, byte);
+  if (byte == map_of_one) {
+    // The key of each map: an empty text.
+    for (std::size_t position = 1; position < nested.size(); position += 2) {
+      nested[position] = '\xa0';
+    }
+  }
+  CHECK(support::code_of(wire::decode_table_answer(nested).status()) ==
+        support::result_code::frame_corrupt);
+  const std::string in_rows = std::string(1, array_of_three) + "\x01\x02" + nested;
+  CHECK(support::code_of(wire::decode_table_answer(in_rows).status()) ==
+        support::result_code::frame_corrupt);
+}
+
+TEST_CASE("the rows of a table survive an encoding round trip", "[wire]") {
+  control::store_result result;
+  result.end = control::store_end::done;
+  result.era = 1;
+  result.version = 2;
+  result.rows = {{"key", std::string("\0\xff", 2), 3, false, false}, {"", "", 4, true, true}};
+  const auto decoded = wire::decode_table_answer(wire::encode_table_answer(result));
+  REQUIRE(decoded.ok());
+  CHECK(*decoded == result);
+}
