--- a/include/acaciasill/daemon/call_plane.h
+++ b/include/acaciasill/daemon/call_plane.h
@@ -77,8 +77,8 @@
   // Runs the function for each HTTP server, on the server's request thread.
   void for_each_server(const std::function<void(net::http_server&)>& function);
 
-  // Number of callers' connections with an answer that is not written completely. May be called
-  // from any thread.
+  // Number of connections with callers and with other daemons that have an answer that is not
+  // written completely. May be called from any thread.
   std::size_t unwritten_answers() const;
 
   entry_calls& entry() { return *entry_; }
