--- a/unittests/net/http_load_connection_test.cpp
+++ b/unittests/net/http_load_connection_test.cpp
@@ -1,6 +1,7 @@
 #include "acaciasill/net/http_load_connection.h"
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 
--- a/unittests/platform/cut_answer_test.cpp
+++ b/unittests/platform/cut_answer_test.cpp
@@ -1,4 +1,5 @@
 #include <string>
+#include <utility>
 
 #include <asio.hpp>
 #include <catch2/catch.hpp>
--- a/unittests/platform/invalid_reply_test.cpp
+++ b/unittests/platform/invalid_reply_test.cpp
@@ -1,5 +1,6 @@
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <asio.hpp>
--- a/unittests/platform/stopping_test.cpp
+++ b/unittests/platform/stopping_test.cpp
@@ -1,5 +1,8 @@
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
