Take no copy of a table that states less than an answer has

As in the client of the store: a copy with nil in place of its rows was an empty table, and negative numbers, fractions and booleans became versions and eras. Only daemons write copies; nobody has seen it.

Change: rows have to be a list, and numbers are read within their range.

--- a/lib/wire/table_answer.cpp
+++ b/lib/wire/table_answer.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "acaciasill/support/json_number.h"
 #include "acaciasill/support/result_code.h"
 
 namespace acaciasill::wire {
@@ -78,12 +79,12 @@
     const auto parsed = json::from_msgpack(bytes.begin(), bytes.end());
     control::store_result result;
     result.end = control::store_end::done;
-    result.era = parsed.at(0).get<std::uint64_t>();
-    result.version = parsed.at(1).get<std::uint64_t>();
-    for (const auto& row : parsed.at(2)) {
+    result.era = support::read_unsigned<std::uint64_t>(parsed.at(0));
+    result.version = support::read_unsigned<std::uint64_t>(parsed.at(1));
+    for (const auto& row : parsed.at(2).get_ref<const json::array_t&>()) {
       result.rows.push_back({decode_bytes(row.at(0)), decode_bytes(row.at(1)),
-                             row.at(2).get<std::uint64_t>(), row.at(3).get<bool>(),
-                             row.at(4).get<bool>()});
+                             support::read_unsigned<std::uint64_t>(row.at(2)),
+                             row.at(3).get<bool>(), row.at(4).get<bool>()});
     }
     return result;
   } catch (const json::exception& error) {
--- a/unittests/wire/table_answer_test.cpp
+++ b/unittests/wire/table_answer_test.cpp
@@ -35,6 +35,27 @@
         support::result_code::frame_corrupt);
 }
 
+TEST_CASE("an answer without rows is not an empty table", "[wire]") {
+  // Nil, a map, a number, an empty text in place of the rows.
+  const char rows = GENERATE('\xc0', '\x80', '\x00', '\xa0');
+  CHECK_FALSE(wire::decode_table_answer(std::string(1, array_of_three) + "\x01\x02" + rows).ok());
+}
+
+TEST_CASE("an answer with an era or a version out of range is corrupt", "[wire]") {
+  constexpr char no_rows = '\x90';
+  // -1, -128, true, 1.0.
+  const auto number = GENERATE(
+      values<std::string>({"\xff", "\xd0\x80", "\xc3", std::string("\xca\x3f\x80\x00\x00", 5)}));
+  const std::string begin(1, array_of_three);
+  CHECK_FALSE(wire::decode_table_answer(begin + number + "\x02" + no_rows).ok());
+  CHECK_FALSE(wire::decode_table_answer(begin + "\x01" + number + no_rows).ok());
+  // The version of a row.
+  const std::string row = std::string("\x95\xc4\x01k\xc4\x01v", 7) + number + "\xc2\xc2";
+  CHECK_FALSE(wire::decode_table_answer(begin + "\x01\x02\x91" + row).ok());
+  const std::string valid_row = std::string("\x95\xc4\x01k\xc4\x01v", 7) + "\x03\xc2\xc2";
+  CHECK(wire::decode_table_answer(begin + "\x01\x02\x91" + valid_row).ok());
+}
+
 TEST_CASE("the rows of a table survive an encoding round trip", "[wire]") {
   control::store_result result;
   result.end = control::store_end::done;
