Let every allowed answer through, however small the limit on all of them

A lone answer of 4 MiB would have ended as too large on a machine of 160 MB with eight cores (5 MiB a thread), and any of half a MiB on a native daemon with 64 threads (1 MiB).

Change: the only incomplete answer of a client is never ended for the limit; the one on each answer bounds it. A native daemon, which does not know its memory, has the default for each thread. The limit of the platform's daemon moves to directory_support, out of the largest file.

Before: the new test of a lone answer failed (too large). After: it passes, with those of the limit.

--- a/include/acaciasill/daemon/call_plane.h
+++ b/include/acaciasill/daemon/call_plane.h
@@ -40,7 +40,8 @@
   std::string peer_listen;
   net::peer_settings peers;
   std::uint32_t max_body_bytes = 0;
-  // Limit on the memory of the backend server's incomplete answers on all threads, in bytes.
+  // Limit on the memory of the backend server's incomplete answers on each request thread, in
+  // bytes.
   std::size_t max_buffered_bytes = net::default_max_buffered_bytes;
   operating_mode mode = operating_mode::protect;
 };
--- a/include/acaciasill/daemon/directory_daemon.h
+++ b/include/acaciasill/daemon/directory_daemon.h
@@ -50,8 +50,8 @@
   bool operator==(const directory_daemon_settings&) const = default;
 };
 
-// Limit on the memory of the backend server's incomplete answers, in bytes: a quarter of the
-// process's memory, or the default of the HTTP client.
+// Limit on the memory of the backend server's incomplete answers on each request thread, in bytes:
+// all threads together a quarter of the process's memory, or the default of the HTTP client each.
 std::size_t max_buffered_bytes(const directory_daemon_settings& settings);
 
 // A configuration read from the platform.
--- a/include/acaciasill/net/http_client.h
+++ b/include/acaciasill/net/http_client.h
@@ -92,7 +92,7 @@
   // max_connections limits the open connections per address, idle ones included; further exchanges
   // wait for a free connection. max_body_bytes limits the body of a response, max_buffered_bytes
   // the memory of all responses that are incomplete: beyond it, the largest one ends its exchange
-  // with exchange_end::too_large.
+  // with exchange_end::too_large, unless it is the only one.
   http_client(asio::io_context& context, std::size_t max_connections, std::size_t max_body_bytes,
               std::size_t max_buffered_bytes = default_max_buffered_bytes);
   ~http_client();
--- a/lib/daemon/call_plane.cpp
+++ b/lib/daemon/call_plane.cpp
@@ -88,9 +88,8 @@
 void call_plane::make_call_path(key_claims* claims, backend_observer observer) {
   const auto connections = std::max<std::size_t>(1, default_backend_connections / threads_.size());
   for (auto& thread : threads_) {
-    thread->backend =
-        std::make_unique<net::http_client>(thread->context, connections, settings_.max_body_bytes,
-                                           settings_.max_buffered_bytes / threads_.size());
+    thread->backend = std::make_unique<net::http_client>(
+        thread->context, connections, settings_.max_body_bytes, settings_.max_buffered_bytes);
   }
   peer_calls_.resize(threads_.size());
   upstream_ = std::make_unique<upstream_calls>(upstream_environment{
--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -533,12 +533,6 @@
   std::atomic<support::duration::rep> last_request_{0};
 };
 
-std::size_t max_buffered_bytes(const directory_daemon_settings& settings) {
-  constexpr std::size_t memory_divisor = 4;
-  return settings.memory_mb == 0 ? net::default_max_buffered_bytes
-                                 : (std::size_t{settings.memory_mb} << 20U) / memory_divisor;
-}
-
 directory_daemon::directory_daemon(asio::io_context& control_context,
                                    const directory_daemon_settings& settings,
                                    platform_adapter adapter)
--- a/lib/daemon/directory_support.cpp
+++ b/lib/daemon/directory_support.cpp
@@ -7,6 +7,8 @@
 
 #include "absl/strings/str_join.h"
 
+#include "acaciasill/daemon/directory_daemon.h"
+#include "acaciasill/net/http_client.h"
 #include "acaciasill/support/log.h"
 
 namespace acaciasill::daemon {
@@ -107,6 +109,13 @@
   return settings;
 }
 
+std::size_t max_buffered_bytes(const directory_daemon_settings& settings) {
+  constexpr std::size_t memory_divisor = 4;
+  const auto process_bytes = std::size_t{settings.memory_mb} << 20U;
+  return settings.memory_mb == 0 ? net::default_max_buffered_bytes
+                                 : process_bytes / memory_divisor / settings.threads;
+}
+
 net::http_server_settings listen_settings(const net::peer_address& address,
                                           std::uint32_t max_body_bytes) {
   net::http_server_settings settings;
--- a/lib/net/http_client.cpp
+++ b/lib/net/http_client.cpp
@@ -236,7 +236,8 @@
   }
 
   // Ends the exchanges with the largest incomplete responses until the rest is within the limit, so
-  // that a server that sends bytes without end does not fail the exchanges beside it.
+  // that a server that sends bytes without end does not fail the exchanges beside it. A response
+  // that is the only incomplete one has its own limit.
   void end_largest_exchanges() {
     const auto buffered = [](const exchange_table::value_type& entry) {
       return entry.second.connection ? entry.second.connection->buffered_bytes() : 0;
@@ -246,7 +247,8 @@
                                             [&buffered](const auto& left, const auto& right) {
                                               return buffered(left) < buffered(right);
                                             });
-      if (largest == exchanges.end() || buffered(*largest) == 0) {
+      if (largest == exchanges.end() || buffered(*largest) == 0 ||
+          buffered(*largest) == shared_state->buffered_bytes) {
         return;
       }
       ++shared_state->counters.over_buffer_limit;
--- a/unittests/net/buffered_answers_test.cpp
+++ b/unittests/net/buffered_answers_test.cpp
@@ -89,6 +89,20 @@
   CHECK(response.body.size() == 100'000);
 }
 
+// Whatever the limit on all answers together, the one on each answer still holds.
+TEST_CASE("an answer within its own limit is not ended while it is the only incomplete one") {
+  asio::io_context context;
+  constexpr std::size_t tiny_limit = 1000;
+  http_client client(context, 64, max_body_bytes, tiny_limit);
+  answering_server server(context);
+  server.text = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(max_body_bytes) +
+                "\r\n\r\n" + std::string(max_body_bytes, 'x');
+  const auto response = exchange(context, client, make_request(server));
+  CHECK(response.end == exchange_end::answered);
+  CHECK(response.body.size() == max_body_bytes);
+  CHECK(client.counters().over_buffer_limit == 0);
+}
+
 TEST_CASE("the limit on incomplete answers covers the fields of their heads") {
   asio::io_context context;
   // Each field occupies far more memory than the five bytes that state it.
--- a/unittests/platform/settings_test.cpp
+++ b/unittests/platform/settings_test.cpp
@@ -48,6 +48,7 @@
     return acaciasill::daemon::max_buffered_bytes(read_settings("s", lines).daemon);
   };
   CHECK(limit("memory_mb: 260\n") == std::size_t{65} << 20U);
+  CHECK(limit("memory_mb: 260\nthreads: 4\n") == (std::size_t{65} << 20U) / 4);
   CHECK(limit("memory_mb: 0\n") == acaciasill::net::default_max_buffered_bytes);
   CHECK(limit("") == acaciasill::net::default_max_buffered_bytes);
 }
