Limit the heads that the client of the platform's service keeps

Change: a transfer whose heads and trailers exceed 64 KiB, as in the other client, is aborted before they are kept, and a continuation is appended in place.

After: it passes.

--- a/lib/net/platform_transfer.cpp
+++ b/lib/net/platform_transfer.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::size_t max_header_lines = 100;
+// Limit on the heads and trailers of one transfer, in bytes.
+constexpr std::size_t max_header_bytes = 65536;
 constexpr support::milliseconds max_connect_timeout{1000};
 
 void initialise_curl() {
@@ -37,7 +39,8 @@
   const bool continues_value = line.starts_with(' ') || line.starts_with('\t');
   if (continues_value && !headers.empty()) {
     auto& value = headers.back().value;
-    value = strip(value + " " + strip(line));
+    const auto continuation = strip(line);
+    value.append(value.empty() || continuation.empty() ? "" : " ").append(continuation);
     return true;
   }
   const auto colon = line.find(':');
@@ -126,7 +129,10 @@
   constexpr std::size_t abort_transfer = 0;
   auto& self = *static_cast<platform_transfer*>(transfer);
   const std::string_view line(bytes, size * count);
-  return add_header_line(self.response_.headers, line) ? line.size() : abort_transfer;
+  self.header_bytes_ += line.size();
+  const bool is_valid =
+      self.header_bytes_ <= max_header_bytes && add_header_line(self.response_.headers, line);
+  return is_valid ? line.size() : abort_transfer;
 }
 
 transfer_multi::transfer_multi() {
--- a/lib/net/platform_transfer.h
+++ b/lib/net/platform_transfer.h
@@ -56,6 +56,8 @@
   std::unique_ptr<curl_slist, header_list_deleter> headers_;
   std::string body_;
   http_response response_;
+  // Bytes of the heads and trailers received so far.
+  std::size_t header_bytes_ = 0;
 };
 
 // Runs transfers on one thread; only wake may be called from other threads.
--- a/unittests/net/platform_answer_test.cpp
+++ b/unittests/net/platform_answer_test.cpp
@@ -90,6 +90,17 @@
   CHECK(send_and_wait(server, read_row{"k"}).end != platform_end::done);
 }
 
+// Below what libcurl accepts.
+TEST_CASE("a read is not answered by a response whose head has too many bytes to keep") {
+  const auto line = GENERATE(values<std::string>({"A: v\r\n", " continued\r\n"}));
+  std::string text = "HTTP/1.1 200 OK\r\nETag: \"3\"\r\nB: v\r\n";
+  while (text.size() < 200'000) {
+    text += line;
+  }
+  const running_server server(text + "Content-Length: 1\r\n\r\nv", after_answer::close);
+  CHECK(send_and_wait(server, read_row{"k"}).end != platform_end::done);
+}
+
 TEST_CASE("a value in several lines is joined") {
   const running_server server("HTTP/1.1 200 OK\r\nA: v\r\n w: x\r\nETag:\r\n \"3\"\r\n"
                               "Content-Length: 1\r\n\r\nv",
