Reject an answer that switches protocols

The daemon never asks for another protocol; it forwards no Upgrade field.

Change: 101 is no valid status of a response. The load tool and the check of other daemons' answers share the rule.

--- a/include/acaciasill/net/http_text.h
+++ b/include/acaciasill/net/http_text.h
@@ -49,8 +49,9 @@
 int append_field_value(http_message& message, std::string_view bytes, const message_limits& limits);
 int append_body(http_message& message, std::string_view bytes, const message_limits& limits);
 
-// Whether the status of a response is within the range that RFC 9110 (section 15) defines. The
-// parser accepts any number of up to three digits.
+// Whether a response may have the status: one within the range that RFC 9110 (section 15) defines,
+// but not 101, since no request asks for another protocol. The parser accepts any number of up to
+// three digits.
 bool is_valid_status(unsigned status);
 
 // Whether the text is a valid field name, a token of RFC 9110 (section 5.6.2). The parser also
--- a/lib/net/http_text.cpp
+++ b/lib/net/http_text.cpp
@@ -11,6 +11,7 @@
 
 constexpr unsigned min_status = 100;
 constexpr unsigned max_status = 599;
+constexpr unsigned status_switching_protocols = 101;
 
 // Characters of a token besides letters and digits.
 constexpr std::string_view token_symbols = "!#$%&'*+-.^_`|~";
@@ -76,7 +77,7 @@
 }
 
 bool is_valid_status(unsigned status) {
-  return status >= min_status && status <= max_status;
+  return status >= min_status && status <= max_status && status != status_switching_protocols;
 }
 
 bool is_field_name(std::string_view text) {
--- a/unittests/net/malformed_answer_test.cpp
+++ b/unittests/net/malformed_answer_test.cpp
@@ -144,3 +144,11 @@
   CHECK(response.status == 200);
   CHECK(response.body == "whole");
 }
+
+// No request asks for another protocol.
+TEST_CASE("an answer that switches protocols ends the exchange") {
+  const std::string fields = GENERATE("", "Connection: upgrade\r\nUpgrade: other\r\n");
+  const std::string rest = GENERATE("", "bytes of the other protocol");
+  CHECK(get_answer("HTTP/1.1 101 Switching Protocols\r\n" + fields + "\r\n" + rest).end ==
+        exchange_end::broken);
+}
