Reject an answer in a transfer coding that the client does not decode

Cause: the parser decodes chunks if they come last and reads everything else as it comes.

Change: the client accepts chunks alone, or the identity coding of older servers; any other ends the exchange as broken. No request asks for another coding.

--- a/lib/net/client_connection.cpp
+++ b/lib/net/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "client_connection.h"
 
+#include <algorithm>
 #include <charconv>
 #include <limits>
 #include <utility>
@@ -11,6 +12,8 @@
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 
+#include "absl/strings/ascii.h"
+
 #include "acaciasill/net/call_headers.h"
 
 #include "parser_callbacks.h"
@@ -57,6 +60,19 @@
          status != status_not_modified;
 }
 
+// Whether the parser decodes the body as it was coded for the transfer. It reads a body in any
+// other coding as it comes.
+bool has_readable_coding(const std::vector<wire::header_field>& fields) {
+  constexpr std::string_view name = "transfer-encoding";
+  const auto is_coding = [name](const auto& field) { return same_field_name(field.name, name); };
+  const auto count = std::count_if(fields.begin(), fields.end(), is_coding);
+  if (count == 0) {
+    return true;
+  }
+  const std::string coding(absl::StripAsciiWhitespace(*find_field(fields, name)));
+  return count == 1 && (same_field_name(coding, "chunked") || same_field_name(coding, "identity"));
+}
+
 bool needs_content_length(const client_request& request) {
   return !request.body.empty() || request.method == "POST" || request.method == "PUT" ||
          request.method == "PATCH";
@@ -288,7 +304,7 @@
 }
 
 int client_connection::on_headers_complete() {
-  if (!is_valid_status(parser_.status_code)) {
+  if (!is_valid_status(parser_.status_code) || !has_readable_coding(message_.headers)) {
     return parser_failure;
   }
   if (head_request_ || !may_have_body(parser_.status_code)) {
--- a/unittests/net/malformed_answer_test.cpp
+++ b/unittests/net/malformed_answer_test.cpp
@@ -1,5 +1,6 @@
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include <asio.hpp>
 #include <catch2/catch.hpp>
@@ -152,3 +153,41 @@
   CHECK(get_answer("HTTP/1.1 101 Switching Protocols\r\n" + fields + "\r\n" + rest).end ==
         exchange_end::broken);
 }
+
+// Such a body would be passed on as it is, without the field that states its coding.
+TEST_CASE("an answer in a transfer coding other than chunks ends the exchange") {
+  const auto coding =
+      GENERATE(values<std::string>({"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+                                    "chunked\r\nTransfer-Encoding: chunked", "xchunked", ""}));
+  const auto body = GENERATE(values<std::string>({"whole", "5\r\nwhole\r\n0\r\n\r\n"}));
+  INFO(coding << ", " << body);
+  asio::io_context context;
+  answering_server server(context);
+  server.text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + body;
+  http_client client(context, 4, 100'000);
+  client_request request;
+  request.address = server.address();
+  request.method = "GET";
+  CHECK(exchange(context, client, request).end == exchange_end::broken);
+}
+
+TEST_CASE("an answer that states the absence of a coding is accepted") {
+  asio::io_context context;
+  answering_server server(context);
+  server.text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nwhole";
+  http_client client(context, 4, 100'000);
+  client_request request;
+  request.address = server.address();
+  request.method = "GET";
+  const auto response = exchange(context, client, request);
+  REQUIRE(response.end == exchange_end::answered);
+  CHECK(response.body == "whole");
+}
+
+TEST_CASE("an answer in chunks is accepted in any case of its coding") {
+  const auto coding = GENERATE(values<std::string>({"chunked", "Chunked", " chunked "}));
+  const auto response = get_answer("HTTP/1.1 200 OK\r\nTransfer-Encoding:" + coding +
+                                   "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+  REQUIRE(response.end == exchange_end::answered);
+  CHECK(response.body == "whole");
+}
