Do not read the fields of a trailer as those of the head

Change: the fields behind the body are checked and limited as before, and then dropped (RFC 9110, 6.5.1).

Before: the new test found the trailer's fields. After: it passes.

--- a/lib/net/client_connection.cpp
+++ b/lib/net/client_connection.cpp
@@ -307,6 +307,7 @@
   if (!is_valid_status(parser_.status_code) || !has_readable_coding(message_.headers)) {
     return parser_failure;
   }
+  head_fields_ = message_.headers.size();
   if (head_request_ || !may_have_body(parser_.status_code)) {
     return no_body_follows;
   }
@@ -323,6 +324,8 @@
 }
 
 int client_connection::on_message_complete() {
+  // The fields of a trailer are not those of the head (RFC 9110, 6.5.1).
+  message_.headers.resize(head_fields_);
   if (parser_.status_code < first_final_status) {
     return discard_message();
   }
--- a/lib/net/client_connection.h
+++ b/lib/net/client_connection.h
@@ -103,6 +103,8 @@
   // Number of messages that the current exchange has discarded.
   std::uint32_t discarded_messages_ = 0;
   std::size_t buffered_bytes_ = 0;
+  // Number of fields in the head of the current message.
+  std::size_t head_fields_ = 0;
   bool head_request_ = false;
   std::string correlation_field_;
   std::string correlation_value_;
--- a/unittests/net/malformed_answer_test.cpp
+++ b/unittests/net/malformed_answer_test.cpp
@@ -191,3 +191,12 @@
   REQUIRE(response.end == exchange_end::answered);
   CHECK(response.body == "whole");
 }
+
+TEST_CASE("the fields behind a body in chunks are not those of the head") {
+  const auto response = get_answer("HTTP/1.1 200 OK\r\nA: v\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                   "5\r\nwhole\r\n0\r\nRefused: 1\r\nA: w\r\n\r\n");
+  REQUIRE(response.end == exchange_end::answered);
+  CHECK(response.body == "whole");
+  CHECK(response.headers ==
+        std::vector<wire::header_field>{{"A", "v"}, {"Transfer-Encoding", "chunked"}});
+}
