--- a/lib/daemon/entry_call.cpp
+++ b/lib/daemon/entry_call.cpp
@@ -79,6 +79,17 @@
   reply.body.clear();
 }
 
+void log_malformed_answer(const entry_call& call, const wire::call_reply& reply,
+                          std::uint32_t dropped) {
+  support::write_event(support::log_level::warning, "call",
+                       "discarded malformed answer from another daemon",
+                       {{"request", call.request.caller_id},
+                        {"call", net::format_request_id(call.request.call.id)},
+                        {"upstream", call.current.address},
+                        {"status", std::to_string(reply.http_status)},
+                        {"lines_dropped_before", std::to_string(dropped)}});
+}
+
 void log_call_end(const entry_call& call, const wire::call_reply& reply, support::time_point now,
                   std::uint32_t dropped) {
   const auto& request = call.request;
--- a/lib/daemon/entry_call.h
+++ b/lib/daemon/entry_call.h
@@ -93,6 +93,10 @@
 // Removes the answer from the reply, so that the call ends as if the server had not answered.
 void discard_answer(wire::call_reply& reply, bool idempotent);
 
+// Logs that the answer of a reply is discarded; dropped is the number of lines suppressed before.
+void log_malformed_answer(const entry_call& call, const wire::call_reply& reply,
+                          std::uint32_t dropped);
+
 // Logs the end of a call; dropped is the number of lines suppressed before this one.
 void log_call_end(const entry_call& call, const wire::call_reply& reply, support::time_point now,
                   std::uint32_t dropped);
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -391,7 +391,9 @@
     }
     const auto now = support::monotonic_now();
     if (call->current.remote && has_malformed_answer(reply)) {
-      log_malformed_answer(*call, reply, now);
+      if (std::uint32_t dropped = 0; call_log_budget_.allow(now, dropped)) {
+        log_malformed_answer(*call, reply, dropped);
+      }
       discard_answer(reply, call->request.call.idempotent);
     }
     if (reply.code == result_code::deadline_exceeded && call->request.bounds_attempt_time &&
@@ -407,19 +409,6 @@
     }
   }
 
-  void log_malformed_answer(const entry_call& call, const wire::call_reply& reply,
-                            support::time_point now) {
-    if (std::uint32_t dropped = 0; call_log_budget_.allow(now, dropped)) {
-      support::write_event(support::log_level::warning, "call",
-                           "discarded malformed answer from another daemon",
-                           {{"request", call.request.caller_id},
-                            {"call", net::format_request_id(call.request.call.id)},
-                            {"upstream", call.current.address},
-                            {"status", std::to_string(reply.http_status)},
-                            {"lines_dropped_before", std::to_string(dropped)}});
-    }
-  }
-
   void record_reply(entry_call& call, const wire::call_reply& reply, support::time_point now) {
     decide::record_reachability(*call.current.load, upstream_was_reached(reply), now);
     if (reply.stated_rate) {
--- a/unittests/platform/cut_answer_test.cpp
+++ b/unittests/platform/cut_answer_test.cpp
@@ -56,23 +56,27 @@
   asio::ip::tcp::acceptor acceptor_;
 };
 
-} // namespace
-
-// Guards against a success with a short body for an answer that its server did not finish.
-TEST_CASE("a caller gets no success for an answer that ends in the middle", "[.cut_answer]") {
-  test_cluster cluster;
-  cutting_server server(cluster.context, "127.0.0.3");
+// Lets the server take the place of the second service's and answer a whole answer.
+void replace_back_server(test_cluster& cluster, cutting_server& server) {
   // A daemon that is destroyed during its first reads leaks them.
   cluster.report("ready", 1);
   REQUIRE(cluster.call_until("/a/x", 200).status == 200);
   cluster.nodes[1].reset();
   cluster.nodes[1] =
       std::make_unique<running_node>(cluster.settings("127.0.0.3", "nox78a", server.port()));
-  const std::string whole =
-      "HTTP/1.1 200 OK\r\nServer-Stamp: abc\r\nContent-Length: 5\r\n\r\nwhole";
-  server.text = whole;
+  server.text = "HTTP/1.1 200 OK\r\nServer-Stamp: abc\r\nContent-Length: 5\r\n\r\nwhole";
   cluster.report("ready", 2);
   REQUIRE(cluster.call_until("/a/x", 200).body == "whole");
+}
+
+} // namespace
+
+// Guards against a success with a short body for an answer that its server did not finish.
+TEST_CASE("a caller gets no success for an answer that ends in the middle", "[.cut_answer]") {
+  test_cluster cluster;
+  cutting_server server(cluster.context, "127.0.0.3");
+  replace_back_server(cluster, server);
+  const std::string whole = server.text;
   for (std::size_t length = 0; length < whole.size(); length += 5) {
     INFO("cut after " << length << " bytes");
     server.text = whole.substr(0, length);
@@ -92,15 +96,7 @@
 TEST_CASE("a caller gets no answer whose head is malformed", "[.cut_answer]") {
   test_cluster cluster;
   cutting_server server(cluster.context, "127.0.0.3");
-  // A daemon that is destroyed during its first reads leaks them.
-  cluster.report("ready", 1);
-  REQUIRE(cluster.call_until("/a/x", 200).status == 200);
-  cluster.nodes[1].reset();
-  cluster.nodes[1] =
-      std::make_unique<running_node>(cluster.settings("127.0.0.3", "nox78a", server.port()));
-  server.text = "HTTP/1.1 200 OK\r\nServer-Stamp: abc\r\nContent-Length: 5\r\n\r\nwhole";
-  cluster.report("ready", 2);
-  REQUIRE(cluster.call_until("/a/x", 200).body == "whole");
+  replace_back_server(cluster, server);
   const std::string stamp = "Server-Stamp: abc\r\n";
   for (const auto& text : {
            "HTTP/1.1 000 X\r\n" + stamp + "Content-Length: 5\r\n\r\nwhole",
