Do not let a guessed parent decide in whose name a request runs

Cause: a request without a key is taken for a call of the local backend server by its route's statistics, for which it is enough that one connection in eight is used again within 2 ms of an answer. It then inherits the organisation, the rank and the retries of the running request that was active last. Ruled out: the caller's own field, which is removed at the entry; state left from an earlier request, since the name appears only while a tenant's request runs, and from the ninth sighting on.

- A request without a key on a public route gets no organisation's name, also if its id states a running request.
- On public routes a guessed parent counts only by deadlines, which are compared with shifted ones.
- Elsewhere a guessed parent passes on its organisation only if all that could have made the call belong to one.
- A cell of the parent table that calls of several organisations share has none.
- The line of a call's end names the organisation and how its parent is known.

It works because the name now depends on a key, on an id that names a running request on a route that requires a key, or on there being a single organisation to choose from.

--- a/include/acaciasill/daemon/entry_request.h
+++ b/include/acaciasill/daemon/entry_request.h
@@ -56,8 +56,12 @@
   // Whether the request carries no key although its route requires one, so that it is served only
   // if the local backend server makes it.
   bool needs_parent = false;
-  // Whether a call made on behalf of a running request belongs to that request's organisation.
+  // Whether a call made on behalf of a running request belongs to that request's organisation. Not
+  // on public routes, which callers without an organisation use as well.
   bool inherits_organisation = false;
+  // Whether callers without a key use the route as well, so that the way in which a connection is
+  // used does not show that the local backend server makes the request.
+  bool is_public = false;
   // Organisation to whose rate limit the request counts; nullopt if there is none.
   std::optional<board::limited_organisation> limited;
   // Whether a call made on behalf of a running request takes that request's rank.
--- a/include/acaciasill/decide/call_recognition.h
+++ b/include/acaciasill/decide/call_recognition.h
@@ -48,6 +48,10 @@
 // Whether calls on the route expire with the request that made them.
 bool expires_with_parent(const call_evidence& evidence);
 
+// Whether the route is used by the backend server, judged by the deadlines of its requests alone. A
+// caller that reuses its connections immediately does not pass for the backend server.
+bool is_recognised_by_deadlines(const call_evidence& evidence);
+
 // Whether the route is used by the backend server. False while there is little evidence.
 bool is_called_by_backend(const call_evidence& evidence);
 
--- a/include/acaciasill/decide/parent_calls.h
+++ b/include/acaciasill/decide/parent_calls.h
@@ -20,6 +20,9 @@
 // entries.
 inline constexpr std::uint32_t thresholds_per_parent = 4;
 
+// Stands for the hash of an organisation's name where none is known.
+inline constexpr std::uint64_t no_organisation = 0;
+
 // One running call, or several calls of the same request.
 struct parent_cell {
   // Request id; 0 and 0 for a free cell.
@@ -37,8 +40,9 @@
   std::atomic<bool> holds_finished_work{false};
   // Rank of the request's priority class, which its child calls inherit.
   std::atomic<std::uint8_t> rank{0};
-  // Hash of the name of the request's organisation, which its child calls inherit.
-  std::atomic<std::uint64_t> organisation{0};
+  // Hash of the name of the request's organisation, which its child calls inherit; no_organisation
+  // if calls of several organisations share the cell.
+  std::atomic<std::uint64_t> organisation{no_organisation};
   // Deadline of the request, as passed to the backend server.
   std::atomic<support::duration::rep> deadline{0};
   // Time at which the call started or its latest child call ended.
@@ -140,6 +144,8 @@
   // stated time, or at a time shifted from it by an arbitrary amount.
   bool has_deadline_of_running = false;
   bool has_shifted_deadline = false;
+  // Whether all running calls that do not expire before the child call belong to one organisation.
+  bool has_certain_organisation = true;
 
   bool operator==(const likely_parent&) const = default;
 };
--- a/lib/daemon/entry_call.cpp
+++ b/lib/daemon/entry_call.cpp
@@ -15,6 +15,17 @@
 
 constexpr std::uint16_t first_final_status = 200;
 
+// Returns how the request that a call belongs to is known.
+const char* parent_source(const entry_request& request) {
+  if (!request.from_backend) {
+    return "none";
+  }
+  if (!request.may_be_backend_call) {
+    return "signed";
+  }
+  return request.stated_parent == request.call.id ? "stated" : "likely";
+}
+
 } // namespace
 
 bool upstream_failed(const wire::call_reply& reply) {
@@ -100,8 +111,10 @@
        {"call", net::format_request_id(request.call.id)},
        {"route", request.route},
        {"service", request.call.service},
+       {"organisation", request.call.organisation},
        {"rank", std::to_string(request.call.rank)},
        {"from_backend", request.from_backend ? "true" : "false"},
+       {"parent", parent_source(request)},
        {"upstream", call.current.address},
        {"attempts", std::to_string(call.attempts)},
        {"outcome", std::string(outcome_name(reply.outcome))},
--- a/lib/daemon/entry_calls.cpp
+++ b/lib/daemon/entry_calls.cpp
@@ -225,11 +225,17 @@
     sighting.has_deadline_of_running = likely && likely->has_deadline_of_running;
     sighting.has_shifted_deadline = likely && likely->has_shifted_deadline;
     decide::record_sighting(evidence, sighting);
+    const bool is_called_by_backend = request.is_public
+                                          ? decide::is_recognised_by_deadlines(evidence)
+                                          : decide::is_called_by_backend(evidence);
     std::optional<wire::request_id> parent;
     if (request.stated_parent && decide::find_parent(board_.parents, *request.stated_parent)) {
       parent = request.stated_parent;
-    } else if (likely && (request.needs_parent || decide::is_called_by_backend(evidence))) {
+    } else if (likely && (request.needs_parent || is_called_by_backend)) {
       parent = likely->id;
+      // A guess among requests of several organisations must not decide whose call it is.
+      request.inherits_organisation =
+          request.inherits_organisation && likely->has_certain_organisation;
     }
     history.previous_parent = parent;
     if (parent) {
--- a/lib/daemon/entry_request.cpp
+++ b/lib/daemon/entry_request.cpp
@@ -128,7 +128,8 @@
   } else if (!key) {
     result.may_be_backend_call = true;
     result.needs_parent = !is_public;
-    result.inherits_organisation = true;
+    result.inherits_organisation = !is_public;
+    result.is_public = is_public;
   } else if (const auto owner = view.snapshot.find_key_owner(*key)) {
     organisation = *owner;
     result.limited = view.limits[organisation];
--- a/lib/decide/call_recognition.cpp
+++ b/lib/decide/call_recognition.cpp
@@ -30,6 +30,12 @@
   }
 }
 
+// Whether there is enough evidence and running requests explain nearly all of it.
+bool is_mostly_explained(const call_evidence& evidence) {
+  const auto seen = evidence.seen.load(relaxed);
+  return seen >= min_sightings && evidence.unexplained.load(relaxed) * unexplained_divisor <= seen;
+}
+
 } // namespace
 
 void record_sighting(call_evidence& evidence, const call_sighting& sighting) {
@@ -54,9 +60,12 @@
          equal >= min_deadline_excess * evidence.shifted_deadline.load(relaxed);
 }
 
+bool is_recognised_by_deadlines(const call_evidence& evidence) {
+  return is_mostly_explained(evidence) && expires_with_parent(evidence);
+}
+
 bool is_called_by_backend(const call_evidence& evidence) {
-  const auto seen = evidence.seen.load(relaxed);
-  if (seen < min_sightings || evidence.unexplained.load(relaxed) * unexplained_divisor > seen) {
+  if (!is_mostly_explained(evidence)) {
     return false;
   }
   const auto used = evidence.on_used_connection.load(relaxed);
--- a/lib/decide/parent_calls.cpp
+++ b/lib/decide/parent_calls.cpp
@@ -36,7 +36,7 @@
   return result;
 }
 
-bool join_running(parent_cell& cell, const request_id& id, std::uint32_t lent_attempts) {
+bool join_running(parent_cell& cell, const request_id& id, const parent_facts& facts) {
   auto running = cell.running.load(std::memory_order_acquire);
   while (running != 0 && running != initialising) {
     if (!cell.running.compare_exchange_weak(running, running + 1, std::memory_order_acq_rel)) {
@@ -44,7 +44,10 @@
     }
     // The increment keeps the cell from being reused, but it may have been reused before.
     if (is_running(cell, id)) {
-      add_attempts(cell.budget, budget_epoch(cell.budget), lent_attempts);
+      add_attempts(cell.budget, budget_epoch(cell.budget), facts.lent_attempts);
+      if (cell.organisation.load(relaxed) != facts.organisation) {
+        cell.organisation.store(no_organisation, relaxed);
+      }
       return true;
     }
     cell.running.fetch_sub(1, std::memory_order_acq_rel);
@@ -122,7 +125,7 @@
 std::optional<parent_ref> open_parent(parent_table& table, const request_id& id,
                                       const parent_facts& facts) {
   if (const auto present = find_parent(table, id);
-      present && join_running(table.cells[present->cell], id, facts.lent_attempts)) {
+      present && join_running(table.cells[present->cell], id, facts)) {
     return ref_to(table, present->cell);
   }
   const auto start = first_cell(table, id);
@@ -144,6 +147,8 @@
   };
   std::optional<std::uint32_t> best;
   std::pair<evidence, support::duration::rep> best_rating{};
+  // Organisation of the running calls seen so far.
+  std::optional<std::uint64_t> organisation;
   likely_parent result;
   const auto end = table.running_end.load(std::memory_order_acquire);
   for (std::uint32_t index = 0; index < end; ++index) {
@@ -162,6 +167,10 @@
     result.has_deadline_of_running = result.has_deadline_of_running || has_same_deadline;
     result.has_shifted_deadline =
         result.has_shifted_deadline || is_near(difference - deadline_shift);
+    const auto own_organisation = cell.organisation.load(relaxed);
+    result.has_certain_organisation = result.has_certain_organisation &&
+                                      organisation.value_or(own_organisation) == own_organisation;
+    organisation = own_organisation;
     if (cell.children.load(relaxed) >= child.max_siblings * running) {
       continue;
     }
--- a/unittests/decide/call_recognition_test.cpp
+++ b/unittests/decide/call_recognition_test.cpp
@@ -43,6 +43,53 @@
   CHECK_FALSE(is_called_by_backend(callers));
 }
 
+// UNASKED: callers that send the next request at once were taken for the backend server.
+TEST_CASE("connections that are reused immediately are no evidence where deadlines are required") {
+  call_evidence callers;
+  repeat(callers, 200, sighting(true));
+  CHECK_FALSE(is_recognised_by_deadlines(callers));
+  call_evidence calls;
+  CHECK_FALSE(is_recognised_by_deadlines(calls));
+  repeat(calls, 20, {true, false, false, true, false});
+  CHECK(is_recognised_by_deadlines(calls));
+  repeat(calls, 20, {false, false, false, false, false});
+  CHECK_FALSE(is_recognised_by_deadlines(calls));
+}
+
+TEST_CASE("the organisation of a likely parent is certain if all candidates share it") {
+  parent_table table(16);
+  const auto open_for = [&table](std::uint64_t id, std::uint64_t organisation) {
+    parent_facts facts;
+    facts.deadline = start + milliseconds(700 * static_cast<int>(id));
+    facts.organisation = organisation;
+    return open_parent(table, {id, 1}, facts);
+  };
+  const child_facts child{start + milliseconds(600), std::nullopt, false};
+  open_for(1, 7);
+  open_for(2, 7);
+  CHECK(find_likely_parent(table, child)->has_certain_organisation);
+  const auto other = open_for(3, 8);
+  CHECK_FALSE(find_likely_parent(table, child)->has_certain_organisation);
+  // A running request with the usual number of calls may have made one more.
+  borrow_from_parent(table, *other);
+  borrow_from_parent(table, *other);
+  CHECK_FALSE(find_likely_parent(table, child)->has_certain_organisation);
+  close_parent(table, *other, 0);
+  CHECK(find_likely_parent(table, child)->has_certain_organisation);
+}
+
+TEST_CASE("calls of several organisations that share an id have no organisation") {
+  parent_table table(16);
+  parent_facts facts;
+  facts.organisation = 7;
+  const auto first = open_parent(table, {1, 1}, facts);
+  REQUIRE(first);
+  CHECK(table.cells[first->cell].organisation == 7);
+  facts.organisation = 8;
+  REQUIRE(open_parent(table, {1, 1}, facts) == first);
+  CHECK(table.cells[first->cell].organisation == no_organisation);
+}
+
 TEST_CASE("a route is recognised by deadlines of running requests if these are no accident") {
   call_evidence calls;
   repeat(calls, 20, {true, false, false, true, false});
--- a/unittests/platform/cluster_fixture.h
+++ b/unittests/platform/cluster_fixture.h
@@ -213,6 +213,21 @@
     CHECK(send("127.0.0.3", 4, request).status == 200);
   }
 
+  // Deregisters the second service's server.
+  void deregister(int start_ms = 7) {
+    net::client_request request;
+    request.method = "POST";
+    request.target = "/api/Instances.Deregister/i-back";
+    request.body = R"({"born":)" + std::to_string(start_ms) + "}";
+    CHECK(send("127.0.0.3", 4, request).status == 200);
+  }
+
+  // Lets the stand-ins run.
+  void run_for(std::chrono::milliseconds time) {
+    context.restart();
+    context.run_for(time);
+  }
+
   // Repeats the request until it gets the status or the iterations are used up.
   net::client_response call_until(const std::string& target, std::uint16_t status) {
     net::client_response response;
--- a/unittests/platform/organisation_key_test.cpp
+++ b/unittests/platform/organisation_key_test.cpp
@@ -57,6 +57,23 @@
     REQUIRE(present == status);
   }
 
+  // Waits until the daemon beside the second service's server reaches both services.
+  void wait_for_back_daemon() {
+    wait_for_back_daemon("/p/x");
+    wait_for_back_daemon("/f/x");
+  }
+
+  void wait_for_back_daemon(const std::string& target) {
+    std::uint16_t status = 0;
+    for (int iteration = 0; iteration < max_iterations && status != 200; ++iteration) {
+      run_for(iteration_time);
+      auto request = caller_request(target, "GET", support::seconds(1));
+      request.headers.push_back({"Key", key_of_large});
+      status = send("127.0.0.3", 2, std::move(request)).status;
+    }
+    REQUIRE(status == 200);
+  }
+
   // Returns the header of the latest request that the second service ran; nullptr if it has none.
   const std::string* latest_field(const char* name) const {
     return net::find_field(back.executed_requests().back().headers, name);
@@ -123,6 +140,88 @@
   }
 }
 
+namespace {
+
+// Keeps the requests for /a/ at the second service's server unanswered.
+struct held_requests {
+  explicit held_requests(organisation_cluster& cluster) {
+    cluster.back.set_handler(
+        [this](const net::http_request& request, const net::http_responder& respond) {
+          if (!request.target.starts_with("/a/")) {
+            return false;
+          }
+          ids.push_back(*net::find_field(request.headers, "Request-Id"));
+          responders.push_back(respond);
+          return true;
+        });
+  }
+
+  // Starts a request with the key and waits until it runs.
+  void start(organisation_cluster& cluster, const std::string& key) {
+    auto request = cluster.caller_request("/a/x", "GET", support::seconds(2));
+    request.headers.push_back({"Key", key});
+    request.address = {asio::ip::make_address("127.0.0.2"),
+                       static_cast<std::uint16_t>(cluster.first_port + 2)};
+    cluster.burst_client.send(std::move(request), [](const net::client_response&) {});
+    const auto before = ids.size();
+    for (int iteration = 0; iteration < max_iterations && ids.size() == before; ++iteration) {
+      cluster.context.restart();
+      cluster.context.run_for(iteration_time);
+    }
+    REQUIRE(ids.size() == before + 1);
+  }
+
+  std::vector<std::string> ids;
+  std::vector<net::http_responder> responders;
+};
+
+constexpr char key_of_small[] = "key-of-the-small-organisation";
+
+} // namespace
+
+// UNASKED: a request without a key on a public route ran in the name of an organisation whose
+// request was in progress at the local server.
+TEST_CASE("a request without a key on a public route runs in no organisation's name",
+          "[.organisation_key]") {
+  organisation_cluster cluster;
+  cluster.wait_for_back_daemon();
+  held_requests held(cluster);
+  held.start(cluster, key_of_large);
+  // The id may also look like that of a call of the running request.
+  const bool states_parent = GENERATE(false, true);
+  constexpr int requests = 24;
+  for (int number = 0; number < requests; ++number) {
+    auto request = cluster.caller_request("/p/x", "GET", support::milliseconds(500));
+    if (states_parent) {
+      request.headers[1].value = held.ids.front() + "." + std::to_string(number);
+    }
+    const auto answer = cluster.send("127.0.0.3", 2, std::move(request));
+    INFO("request " << number << ": " << answer.body);
+    REQUIRE(answer.status == 200);
+    REQUIRE(cluster.latest_field("Tenant") == nullptr);
+  }
+}
+
+// UNASKED: a call ran in the name of any of the organisations whose requests were in progress.
+TEST_CASE("a call that requests of several organisations may have made runs in nobody's name",
+          "[.organisation_key]") {
+  organisation_cluster cluster;
+  cluster.wait_for_back_daemon();
+  held_requests held(cluster);
+  held.start(cluster, key_of_large);
+  held.start(cluster, key_of_small);
+  auto call = cluster.caller_request("/f/x", "GET", support::milliseconds(500));
+  const auto guessed = cluster.send("127.0.0.3", 2, call);
+  INFO(guessed.body);
+  REQUIRE(guessed.status == 200);
+  CHECK(net::find_field(cluster.front.executed_requests().back().headers, "Tenant") == nullptr);
+  call.headers[1].value = held.ids.back() + ".1";
+  REQUIRE(cluster.send("127.0.0.3", 2, std::move(call)).status == 200);
+  const auto* stated = net::find_field(cluster.front.executed_requests().back().headers, "Tenant");
+  REQUIRE(stated != nullptr);
+  CHECK(*stated == "small");
+}
+
 TEST_CASE("a call of a server runs for the organisation of the request that makes it",
           "[.organisation_key]") {
   organisation_cluster cluster;
