--- a/include/acaciasill/daemon/directory_daemon.h
+++ b/include/acaciasill/daemon/directory_daemon.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <asio/io_context.hpp>
 
@@ -16,6 +17,7 @@
 #include "acaciasill/control/table_store.h"
 #include "acaciasill/daemon/edge_protocol.h"
 #include "acaciasill/model/configuration.h"
+#include "acaciasill/model/settings_reader.h"
 #include "acaciasill/net/http_server.h"
 #include "acaciasill/support/time.h"
 
@@ -59,6 +61,8 @@
   // Increases with each configuration; an older configuration never replaces a newer one.
   std::uint64_t version = 0;
   model::configuration set;
+  // Objects that could not be read and that the set therefore lacks, or holds as unusable.
+  std::vector<model::finding> unreadable;
   // Limits on callers' requests: header and body sizes in bytes, header and idle timeouts.
   net::http_server_settings caller_limits;
 };
--- a/include/acaciasill/daemon/entry_request.h
+++ b/include/acaciasill/daemon/entry_request.h
@@ -91,7 +91,7 @@
 // Parses a request that is matched by host and path, using the host routes of the configuration in
 // force. The target is forwarded unchanged. The deadline is that of the caller or the timeout of
 // the route, whichever is earlier. The request is not modified if an error is returned. Errors:
-// no_route, not_ready, unauthenticated, unknown_organisation, deadline_exceeded.
+// no_route, not_ready, no_upstream, unauthenticated, unknown_organisation, deadline_exceeded.
 absl::StatusOr<entry_request> read_host_request(const board::configuration_view& view,
                                                 net::http_request& request,
                                                 const host_request_facts& facts,
--- a/include/acaciasill/model/configuration.h
+++ b/include/acaciasill/model/configuration.h
@@ -147,6 +147,9 @@
   std::uint32_t attempts = 2;
   // True if callers need no key even where the caller policy requires one.
   bool is_public = false;
+  // True if matching requests are refused, because the rest of the route is invalid. Not a field of
+  // the published object.
+  bool is_unusable = false;
 
   bool operator==(const host_route&) const = default;
 };
--- a/include/acaciasill/model/snapshot.h
+++ b/include/acaciasill/model/snapshot.h
@@ -77,7 +77,7 @@
   std::uint32_t index = 0;
   std::string host;
   std::string path_prefix;
-  // Targets with a weight above 0.
+  // Targets with a weight above 0; none if the route is unusable.
   std::vector<compiled_target> targets;
   std::uint8_t rank = 0;
   // Rank of requests that callers send again after a refusal.
--- a/include/acaciasill/model/validation.h
+++ b/include/acaciasill/model/validation.h
@@ -14,8 +14,10 @@
 // Largest number of services in a chain of calls, including the first.
 inline constexpr std::size_t max_call_depth = 11;
 
-// Longest name of an object in bytes.
+// Longest name of an object in bytes. Names of organisations may be encoded from names of another
+// system, which have to be recovered from them.
 inline constexpr std::size_t max_name_size = 63;
+inline constexpr std::size_t max_organisation_name_size = 1023;
 
 // HTTP methods that a route may list.
 inline constexpr std::string_view route_methods[] = {"DELETE", "GET",  "HEAD", "OPTIONS",
--- a/include/acaciasill/wire/codec.h
+++ b/include/acaciasill/wire/codec.h
@@ -33,9 +33,12 @@
 // Limit on the total size of the header fields of a message, names and values, in bytes.
 inline constexpr std::size_t max_header_bytes = std::size_t{16} * 1024;
 
-// Limit on a service name, an organisation name and a method, in bytes each.
+// Limit on a service name and a method, in bytes each.
 inline constexpr std::size_t max_name_bytes = 256;
 
+// Limit on an organisation name, in bytes.
+inline constexpr std::size_t max_organisation_bytes = 1024;
+
 // Limit on a target, path and query together, in bytes.
 inline constexpr std::size_t max_target_bytes = std::size_t{8} * 1024;
 
--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -17,6 +17,7 @@
 #include "acaciasill/daemon/process_metrics.h"
 #include "acaciasill/daemon/publishers.h"
 #include "acaciasill/daemon/request_thread.h"
+#include "acaciasill/model/set_aside.h"
 #include "acaciasill/support/log.h"
 #include "acaciasill/support/result_code.h"
 
@@ -225,8 +226,15 @@
     const auto version = published->version;
     const auto routes = published->set.host_routes.size();
     published->set.generation = version;
-    if (const auto status = publish_configuration(board_, metrics_, std::move(published->set), "");
-        !status.ok()) {
+    log_invalid_objects(version, published->unreadable);
+    auto status = publish_configuration(board_, metrics_, published->set, "");
+    if (!status.ok()) {
+      // The operator's system has accepted the set, so one object must not keep the others out of
+      // force.
+      log_invalid_objects(version, model::set_aside_invalid_objects(published->set));
+      status = publish_configuration(board_, metrics_, std::move(published->set), "");
+    }
+    if (!status.ok()) {
       write_event(
           log_level::error, "configuration", "rejected configuration",
           {{"configuration", std::to_string(version)}, {"reason", std::string(status.message())}});
--- a/lib/daemon/directory_support.cpp
+++ b/lib/daemon/directory_support.cpp
@@ -1,5 +1,6 @@
 #include "directory_support.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -71,6 +72,16 @@
                {"reason", std::string(status.message())}});
 }
 
+void log_invalid_objects(std::uint64_t configuration, const std::vector<model::finding>& findings) {
+  constexpr std::size_t max_logged = 10;
+  for (std::size_t index = 0; index < std::min(findings.size(), max_logged); ++index) {
+    write_event(log_level::error, "configuration", "set aside an invalid object",
+                {{"configuration", std::to_string(configuration)},
+                 {"reason", model::format_finding(findings[index])},
+                 {"of", std::to_string(findings.size())}});
+  }
+}
+
 void log_written_row(const control::directory_entry& entry, store_end end) {
   write_event(log_level::info, "directory", "wrote own directory row",
               {{"instance", entry.instance},
--- a/lib/daemon/directory_support.h
+++ b/lib/daemon/directory_support.h
@@ -12,6 +12,7 @@
 #include "acaciasill/control/backend_state.h"
 #include "acaciasill/control/directory.h"
 #include "acaciasill/control/table_store.h"
+#include "acaciasill/model/settings_reader.h"
 #include "acaciasill/net/http_server.h"
 #include "acaciasill/net/peer_settings.h"
 
@@ -26,6 +27,9 @@
 void log_store_contact(const char* table, bool reached, control::store_end end);
 void log_store_restored(const char* table, std::uint64_t era);
 
+// Logs the objects of a configuration that are not used; of many, the first ones.
+void log_invalid_objects(std::uint64_t configuration, const std::vector<model::finding>& findings);
+
 // Log a directory row that cannot be decoded, and the end of a write of the local daemon's row.
 void log_invalid_row(const control::stored_row& row, const absl::Status& status);
 void log_written_row(const control::directory_entry& entry, control::store_end end);
--- a/lib/daemon/entry_request.cpp
+++ b/lib/daemon/entry_request.cpp
@@ -181,6 +181,9 @@
   if (route == nullptr) {
     return make_error(result_code::no_route);
   }
+  if (route->targets.empty()) {
+    return make_error(result_code::no_upstream, "the route is unusable");
+  }
   const auto service = choose_target(*route, random);
   const auto& compiled = view.snapshot.service(service);
   const auto* policy = view.snapshot.find_caller_policy(model::outside_policy_name);
--- a/lib/model/host_route_check.cpp
+++ b/lib/model/host_route_check.cpp
@@ -28,6 +28,9 @@
 }
 
 void check_targets(const host_route& each, finding_collector& collector) {
+  if (each.is_unusable) {
+    return;
+  }
   std::uint64_t total_weight = 0;
   for (const auto& text : each.targets) {
     const auto target = parse_target(text);
--- a/lib/wire/codec.cpp
+++ b/lib/wire/codec.cpp
@@ -144,7 +144,7 @@
   if (sizes.body > max_body_bytes) {
     return make_error(result_code::body_too_large);
   }
-  if (sizes.service > max_name_bytes || sizes.organisation > max_name_bytes ||
+  if (sizes.service > max_name_bytes || sizes.organisation > max_organisation_bytes ||
       sizes.method > max_name_bytes || sizes.target > max_target_bytes ||
       sizes.idempotency_key > max_idempotency_key_bytes) {
     return make_error(
--- a/unittests/wire/codec_test.cpp
+++ b/unittests/wire/codec_test.cpp
@@ -139,6 +139,10 @@
     request.service = std::string(wire::max_name_bytes + 1, 'a');
     CHECK(code_for(request) == result_code::frame_too_large);
   }
+  SECTION("names of organisations") {
+    request.organisation = std::string(wire::max_organisation_bytes + 1, 'a');
+    CHECK(code_for(request) == result_code::frame_too_large);
+  }
   SECTION("targets") {
     request.target = std::string(wire::max_target_bytes + 1, 'a');
     CHECK(code_for(request) == result_code::frame_too_large);
