Ask another data centre for permits, and grant the whole limit only as the daemon that is listed

Cause: the coordinators of a data centre are its daemons with ready servers. A daemon whose data centre has none had nobody to ask and used its isolated part at once, although it reached the other daemon. That part was the whole limit if the directory lists one daemon in all, whichever that is. Ruled out: permits left from before, since the excess lasts as long as the server is away; in the simulation the daemon sends no message at all.

- Such a daemon asks the coordinator of another data centre, so that all callers share one bucket.
- The whole limit is granted alone only by the daemon that is itself the one listed.

--- a/include/acaciasill/control/node.h
+++ b/include/acaciasill/control/node.h
@@ -220,6 +220,8 @@
   // Incremented with each view published by a node.
   std::uint64_t version = 0;
   std::vector<view_member> members;
+  // Number of daemons known, including those that accept no work; 0 if it is not known.
+  std::uint32_t known_daemons = 0;
   // Whether the node can serve: it has a configuration or is permitted to run without one.
   bool ready = false;
   // Whether this node is leaving; its daemon then refuses new work.
--- a/include/acaciasill/decide/permits.h
+++ b/include/acaciasill/decide/permits.h
@@ -122,7 +122,9 @@
   std::uint64_t version = 0;
   // The daemon's own data centre comes first.
   std::vector<coordinator_group> groups;
+  // Number of daemons in the groups, and of all that are known, whether they serve or not.
   std::uint32_t daemons = 0;
+  std::uint32_t known_daemons = 0;
 
   bool operator==(const coordinator_view&) const = default;
 };
@@ -137,9 +139,10 @@
 // Part of an organisation's limit that the group's coordinator holds.
 double fraction_of_group(const coordinator_view& view, std::size_t group);
 
-// Part of an organisation's limit that a daemon uses that reaches no other one. It comes on top of
-// the limit, since the others do not know of it, and is small for that reason.
-double fraction_of_isolated(const coordinator_view& view);
+// Part of an organisation's limit that a daemon uses that reaches no other one: all of it if it is
+// the only one listed. Otherwise the part comes on top of the limit, since the others do not know
+// of it, and is small for that reason.
+double fraction_of_isolated(const coordinator_view& view, std::string_view own_address);
 
 // Number of daemons of a group that are tried as the coordinator of an organisation.
 inline constexpr std::size_t coordinator_candidates = 3;
@@ -148,6 +151,11 @@
 std::vector<std::uint32_t> choose_coordinators(const coordinator_group& group,
                                                std::uint64_t organisation_hash);
 
+// Returns the addresses that a daemon asks for an organisation's permits, best first: those of its
+// own data centre, or of another one if no daemon of its own serves.
+std::vector<std::string> addresses_to_ask(const coordinator_view& view,
+                                          std::uint64_t organisation_hash);
+
 // Sender of a message to a coordinator.
 enum class permit_sender : std::uint8_t {
   daemon,      // A daemon of the data centre.
--- a/lib/control/directory.cpp
+++ b/lib/control/directory.cpp
@@ -231,6 +231,7 @@
                                std::uint64_t version) {
   cluster_view view;
   view.version = version;
+  view.known_daemons = static_cast<std::uint32_t>(entries.size());
   for (const auto& [address, entry] : entries) {
     if (entry.state != serving_state::ready || entry.service.empty()) {
       continue;
--- a/lib/daemon/permit_service.cpp
+++ b/lib/daemon/permit_service.cpp
@@ -43,7 +43,7 @@
   // Permits of requests that have not run.
   std::uint32_t unused = 0;
   support::time_point unused_since{};
-  // Candidates in the own data centre, for the version of the view.
+  // Daemons to ask, best first, for the version of the view.
   std::uint64_t view_version = 0;
   std::vector<std::string> candidates;
 };
@@ -103,11 +103,12 @@
     const auto& view = environment.coordinators->read(guard);
     const bool for_group =
         is_coordinator && knows_daemons() && !is_isolated(view, environment.now());
-    return decide::part_of(organisation.limit, for_group ? decide::fraction_of_group(view, 0)
-                                                         : decide::fraction_of_isolated(view));
+    return decide::part_of(organisation.limit,
+                           for_group ? decide::fraction_of_group(view, 0)
+                                     : decide::fraction_of_isolated(view, environment.own_address));
   }
 
-  // Updates the candidates for the organisation in the own data centre.
+  // Updates the daemons to ask for the organisation's permits.
   void update_candidates(const board::limited_organisation& organisation,
                          organisation_requests& requests) const {
     const board::rcu_read_guard guard;
@@ -116,11 +117,8 @@
       return;
     }
     requests.view_version = view.version;
-    const auto before = std::exchange(requests.candidates, {});
-    const auto& group = view.groups.front();
-    for (const auto index : decide::choose_coordinators(group, organisation.name_hash)) {
-      requests.candidates.push_back(group.addresses[index]);
-    }
+    const auto before =
+        std::exchange(requests.candidates, decide::addresses_to_ask(view, organisation.name_hash));
     const bool takes_over = !before.empty() && before.front() != environment.own_address &&
                             !requests.candidates.empty() &&
                             requests.candidates.front() == environment.own_address;
--- a/lib/daemon/publishers.cpp
+++ b/lib/daemon/publishers.cpp
@@ -168,6 +168,7 @@
   for (const auto& group : coordinators->groups) {
     coordinators->daemons += group.daemons;
   }
+  coordinators->known_daemons = std::max(coordinators->daemons, view.known_daemons);
   {
     const board::rcu_read_guard guard;
     const auto& present = board.coordinators.read(guard);
--- a/lib/decide/permits.cpp
+++ b/lib/decide/permits.cpp
@@ -175,8 +175,10 @@
   return static_cast<double>(view.groups[group].daemons) / std::max(1U, view.daemons);
 }
 
-double fraction_of_isolated(const coordinator_view& view) {
-  return view.daemons == 1 ? 1.0 : isolated_fraction / std::max(1U, view.daemons);
+double fraction_of_isolated(const coordinator_view& view, std::string_view own_address) {
+  const bool is_only_one = view.daemons == 1 && view.groups.front().daemons == 1 &&
+                           view.groups.front().addresses.front() == own_address;
+  return is_only_one ? 1.0 : isolated_fraction / std::max({1U, view.daemons, view.known_daemons});
 }
 
 std::vector<std::uint32_t> choose_coordinators(const coordinator_group& group,
@@ -197,6 +199,21 @@
   return order;
 }
 
+std::vector<std::string> addresses_to_ask(const coordinator_view& view,
+                                          std::uint64_t organisation_hash) {
+  std::vector<std::string> addresses;
+  if (view.groups.empty()) {
+    return addresses;
+  }
+  const auto others = view.groups.size() - 1;
+  const bool is_served = view.groups.front().daemons > 0 || others == 0;
+  const auto& group = view.groups[is_served ? 0 : 1 + organisation_hash % others];
+  for (const auto index : choose_coordinators(group, organisation_hash)) {
+    addresses.push_back(group.addresses[index]);
+  }
+  return addresses;
+}
+
 std::string encode(const permit_request& message) {
   return std::to_string(message.organisation_hash) + ' ' + std::to_string(message.count) + ' ' +
          std::to_string(static_cast<int>(message.sender));
--- a/unittests/daemon/permit_service_test.cpp
+++ b/unittests/daemon/permit_service_test.cpp
@@ -115,6 +115,18 @@
   CHECK_FALSE(lonely.acquire().is_granted);
 }
 
+TEST_CASE("daemons that reach nobody share a small part of the limit") {
+  const auto part_of_each = [](decide::coordinator_view view, std::string_view address) {
+    view.known_daemons = 10;
+    return decide::fraction_of_isolated(view, address);
+  };
+  const auto only_one = view_of({"10.0.0.1:1"}, {});
+  CHECK(part_of_each(only_one, "10.0.0.1:1") == 1.0);
+  CHECK(part_of_each(only_one, "10.0.0.2:1") <= 0.01);
+  CHECK(part_of_each(view_of({}, {"10.0.0.1:1"}), "10.0.0.2:1") <= 0.01);
+  CHECK(part_of_each(view_of({"10.0.0.1:1"}, {"10.0.0.2:1"}), "10.0.0.1:1") <= 0.01);
+}
+
 TEST_CASE("a request that was sent nowhere before the directory was read gives no permit back") {
   const board::rcu_reader_thread registration;
   lonely_service lonely({});
@@ -189,6 +201,44 @@
   CHECK(static_cast<double>(simulation.largest_window(organisation, window)) <= allowed(stated));
 }
 
+// QUOTA: each daemon without a server granted the whole limit while the directory listed a single
+// daemon, another one.
+TEST_CASE("the limit holds while only one of several daemons has a server") {
+  const board::rcu_reader_thread registration;
+  const stated_limit stated{100.0, 100.0};
+  const auto daemons = GENERATE(2U, 3U, 6U);
+  permit_simulation simulation({daemons, 1});
+  simulation.run_for(10s);
+  const auto organisation = simulation.add({applied(stated), 150.0 * daemons, {}});
+  simulation.run_for(8s);
+  for (std::uint32_t index = 1; index < daemons; ++index) {
+    simulation.list(index, false);
+    simulation.run_for(300ms);
+  }
+  simulation.run_for(5s);
+  const auto before = simulation.admitted(organisation);
+  simulation.run_for(5s);
+  const auto gained = static_cast<double>(simulation.admitted(organisation) - before);
+  for (std::uint32_t index = 1; index < daemons; ++index) {
+    simulation.list(index, true);
+    simulation.run_for(300ms);
+  }
+  simulation.run_for(8s);
+  CHECK(static_cast<double>(simulation.largest_window(organisation, window)) <= allowed(stated));
+  CHECK(gained >= 0.9 * stated.rate * 5.0);
+}
+
+TEST_CASE("the callers of a daemon without a server share the limit with the others") {
+  const board::rcu_reader_thread registration;
+  const stated_limit stated{100.0, 100.0};
+  permit_simulation simulation({2, 1});
+  simulation.list(1, false);
+  simulation.run_for(10s);
+  const auto organisation = simulation.add({applied(stated), 90.0, {1}});
+  simulation.run_for(10s);
+  CHECK(refused_part(simulation, organisation) < 0.05);
+}
+
 TEST_CASE("a restart of all daemons does not renew the limit") {
   const board::rcu_reader_thread registration;
   const stated_limit stated{300.0, 300.0};
--- a/unittests/daemon/permit_simulation.cpp
+++ b/unittests/daemon/permit_simulation.cpp
@@ -20,6 +20,8 @@
   // Number of the process; messages to and from an earlier one are lost.
   std::uint64_t process = 0;
   bool is_paused = false;
+  bool is_listed = true;
+  std::uint64_t view_version = 0;
   std::vector<event> missed;
   std::vector<decide::permit_bucket> buckets;
   board::rcu_cell<decide::coordinator_view> coordinators{
@@ -74,6 +76,13 @@
   start_process(index);
 }
 
+void permit_simulation::list(std::uint32_t changed, bool is_listed) {
+  daemons_[changed]->is_listed = is_listed;
+  for (std::uint32_t index = 0; index < daemon_count(); ++index) {
+    publish_view(index);
+  }
+}
+
 void permit_simulation::pause(std::uint32_t index) {
   daemons_[index]->is_paused = true;
 }
@@ -135,18 +144,23 @@
 
 void permit_simulation::publish_view(std::uint32_t index) {
   std::map<std::string, std::vector<std::string>> addresses;
+  std::uint32_t listed = 0;
   for (const auto& each : daemons_) {
-    addresses[each->data_centre].push_back(each->address);
+    if (each->is_listed) {
+      addresses[each->data_centre].push_back(each->address);
+      ++listed;
+    }
   }
   auto& own = *daemons_[index];
   decide::coordinator_view view;
-  view.version = 1;
+  view.version = ++own.view_version;
   view.groups.push_back(decide::make_group(own.data_centre, addresses[own.data_centre]));
   addresses.erase(own.data_centre);
   for (auto& [data_centre, list] : addresses) {
     view.groups.push_back(decide::make_group(data_centre, std::move(list)));
   }
-  view.daemons = daemon_count();
+  view.daemons = listed;
+  view.known_daemons = daemon_count();
   own.coordinators.publish(std::make_unique<const decide::coordinator_view>(std::move(view)));
 }
 
--- a/unittests/daemon/permit_simulation.h
+++ b/unittests/daemon/permit_simulation.h
@@ -51,6 +51,8 @@
   void cut(const std::vector<std::uint32_t>& daemons);
   // Replaces the process of a daemon by a new one.
   void restart(std::uint32_t daemon);
+  // Sets whether the directory lists the daemon, which it does while the daemon's server is ready.
+  void list(std::uint32_t changed, bool is_listed);
   // Stops the daemon from handling anything, and lets it go on.
   void pause(std::uint32_t daemon);
   void resume(std::uint32_t daemon);
