Do not let a delayed report undo a departure that only an earlier process knew

Cause: the departure was known to one process only, and a new process, which knows nothing of the server, took any report of being ready for that of a serving one. Its own health checks had told it that the server was leaving, and that was not kept. Ruled out: the directory row, which alone never makes a server serve, and the health check.

- A health check that states that the server leaves is final for that instance.
- While nothing is known of the server and an earlier process may have known it, a report of being ready is held back until a health check, sent at once, finds the instance healthy and not leaving, or a later report arrives.
Without a row of this daemon in the directory there was no such process, and the first report counts as before.
- The same for reports of an instance whose departure stated no start time: a late one was taken for a new run.
- The departure of a later instance than the known one applies; it was ignored if it overtook the first report.

It works because after a restart one delayed message no longer makes a server serve: the server itself has to say so at that moment, or twice. Not chosen: acknowledging only what is stored, since the store may be away for longer than the time that servers wait.

--- a/include/acaciasill/control/backend_state.h
+++ b/include/acaciasill/control/backend_state.h
@@ -76,9 +76,29 @@
 report_effect apply_report(backend_state& state, const backend_report& report,
                            support::time_point now);
 
+// A report that is not applied until something confirms that its sender still serves. It may have
+// been delayed, and an earlier process of this daemon may have acknowledged since that the sender
+// leaves, without being able to store that.
+struct held_report {
+  std::optional<backend_report> report;
+
+  bool operator==(const held_report&) const = default;
+};
+
+// Holds the report back if it needs to be confirmed, and returns whether it does. That is so for a
+// report of a ready server while nothing is known of the server, if an earlier process of this
+// daemon may have known it, and for one of an instance that has left at an unknown time of its own
+// clock. A later report of the same instance confirms the one that is held.
+bool hold_report(held_report& held, const backend_state& state, const backend_report& report,
+                 bool may_have_predecessor);
+
+// Takes the report that is held if it is of this instance, which a health check has confirmed.
+std::optional<backend_report> release_report(held_report& held, const std::string& instance);
+
 // Records that an instance, identified also by its start time if that is known, has left. Returns
 // true if the server was not already leaving. Also applies before any report has been received, so
-// that a delayed report of this instance cannot make it serve again.
+// that a delayed report of this instance cannot make it serve again, and if the instance is a later
+// one than the last that reported.
 bool apply_departure(backend_state& state, const std::string& instance,
                      std::optional<std::uint64_t> start_ms);
 
@@ -104,6 +124,10 @@
 void apply_healthy_probe(backend_state& state, const std::string& instance, std::uint32_t slots,
                          support::time_point now);
 
+// Applies the result of a health check by which the instance is leaving; its start time is that of
+// its report, if one is held. Returns true if the server was not already leaving.
+bool apply_leaving_probe(backend_state& state, held_report& held, const std::string& instance);
+
 } // namespace acaciasill::control
 
 #endif
--- a/include/acaciasill/daemon/directory_daemon.h
+++ b/include/acaciasill/daemon/directory_daemon.h
@@ -75,6 +75,8 @@
   std::uint32_t slots = 0;
   // Whether no connection to the server could be established; the other members are then empty.
   bool refused = false;
+  // Whether the server states that it is leaving.
+  bool leaving = false;
 
   bool operator==(const backend_probe&) const = default;
 };
--- a/lib/control/backend_state.cpp
+++ b/lib/control/backend_state.cpp
@@ -1,5 +1,8 @@
 #include "acaciasill/control/backend_state.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "acaciasill/support/socket_address.h"
 
 namespace acaciasill::control {
@@ -65,13 +68,49 @@
   return same_details ? report_effect::none : report_effect::details_changed;
 }
 
+bool hold_report(held_report& held, const backend_state& state, const backend_report& report,
+                 bool may_have_predecessor) {
+  const bool departure_is_undated = state.availability == backend_availability::leaving &&
+                                    state.report.instance == report.instance &&
+                                    state.report.start_ms == 0 && report.start_ms != 0;
+  const bool is_unknown =
+      state.availability == backend_availability::unknown && may_have_predecessor;
+  const bool is_confirmed = held.report && is_same_instance(*held.report, report) &&
+                            report.sequence > held.report->sequence;
+  if (report.draining || is_confirmed || is_stale(state, report) ||
+      !(is_unknown || departure_is_undated)) {
+    held.report.reset();
+    return false;
+  }
+  // Of two reports in the wrong order, the later one is kept.
+  const bool is_older = held.report && (is_same_instance(*held.report, report)
+                                            ? report.sequence <= held.report->sequence
+                                            : report.start_ms < held.report->start_ms);
+  if (!is_older) {
+    held.report = report;
+  }
+  return true;
+}
+
+std::optional<backend_report> release_report(held_report& held, const std::string& instance) {
+  if (!held.report || held.report->instance != instance) {
+    return std::nullopt;
+  }
+  return std::exchange(held.report, std::nullopt);
+}
+
 bool apply_departure(backend_state& state, const std::string& instance,
                      std::optional<std::uint64_t> start_ms) {
   const bool is_known = !state.report.instance.empty();
-  if (is_known && (state.report.instance != instance ||
-                   start_ms.value_or(state.report.start_ms) < state.report.start_ms)) {
+  const bool is_later = start_ms.value_or(0) > state.report.start_ms;
+  if (is_known && !is_later &&
+      (state.report.instance != instance ||
+       start_ms.value_or(state.report.start_ms) < state.report.start_ms)) {
     return false;
   }
+  if (state.report.instance != instance) {
+    state.report.sequence = 0;
+  }
   state.report.start_ms = start_ms.value_or(state.report.start_ms);
   state.report.instance = instance;
   const bool has_changed = state.availability != backend_availability::leaving;
@@ -133,4 +172,13 @@
   state.consecutive_refusals = 0;
 }
 
+bool apply_leaving_probe(backend_state& state, held_report& held, const std::string& instance) {
+  const auto report = release_report(held, instance);
+  const auto known_start = state.report.instance == instance ? state.report.start_ms : 0;
+  state.report.start_ms = report ? std::max(report->start_ms, known_start) : known_start;
+  state.report.instance = instance;
+  return std::exchange(state.availability, backend_availability::leaving) !=
+         backend_availability::leaving;
+}
+
 } // namespace acaciasill::control
--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -254,6 +254,9 @@
 
   void on_members() {
     apply_recovered_row();
+    if (const auto held = held_report_.report; held && !may_have_predecessor()) {
+      handle_report(*held);
+    }
     publish_crashes();
     publish_routing(
         board_, routing_,
@@ -348,7 +351,26 @@
     }
   }
 
+  // Whether an earlier process of this daemon may have known the backend server.
+  bool may_have_predecessor() const {
+    const auto& members = tables_->members();
+    return !members.is_loaded() || members.initial_local_entry().has_value();
+  }
+
   void handle_report(const control::backend_report& report) {
+    if (!control::hold_report(held_report_, backend_state_, report, may_have_predecessor())) {
+      accept_report(report);
+      return;
+    }
+    write_event(log_level::info, "backend", "backend server report has to be confirmed",
+                {{"instance", report.instance},
+                 {"start_ms", std::to_string(report.start_ms)},
+                 {"sequence", std::to_string(report.sequence)}});
+    next_probe_ = {};
+    probe_if_needed(support::monotonic_now());
+  }
+
+  void accept_report(const control::backend_report& report) {
     const auto effect = control::apply_report(backend_state_, report, support::monotonic_now());
     if (effect == control::report_effect::none) {
       return;
@@ -430,10 +452,19 @@
                   {{"instance", backend_state_.report.instance}});
       publish_backend();
     }
+    probe_if_needed(now);
+  }
+
+  // Whether a health check may tell more about the backend server than is known.
+  bool needs_probe() const {
     using control::backend_availability;
-    const bool needs_probe = backend_state_.availability == backend_availability::unknown ||
-                             backend_state_.availability == backend_availability::lost;
-    if (needs_probe && version_in_force_ != 0 && !probing_ && now >= next_probe_) {
+    return backend_state_.availability == backend_availability::unknown ||
+           backend_state_.availability == backend_availability::lost || held_report_.report;
+  }
+
+  void probe_if_needed(support::time_point now) {
+    // The path of the health check is part of the configuration.
+    if (needs_probe() && version_in_force_ != 0 && !probing_ && now >= next_probe_) {
       probing_ = true;
       next_probe_ = now + probe_period;
       adapter_.probe_backend([this](const std::optional<backend_probe>& probe) {
@@ -457,14 +488,20 @@
   }
 
   void apply_probe(const std::optional<backend_probe>& probe) {
-    using control::backend_availability;
-    const bool needs_probe = backend_state_.availability == backend_availability::unknown ||
-                             backend_state_.availability == backend_availability::lost;
-    if (!probe || !probe->serving || probe->instance.empty() || !needs_probe) {
+    if (!probe || probe->instance.empty() || !(probe->serving || probe->leaving) ||
+        !needs_probe()) {
       return;
     }
     apply_recovered_row();
-    if (backend_state_.availability == backend_availability::leaving) {
+    if (probe->leaving) {
+      apply_leaving_probe(probe->instance);
+      return;
+    }
+    if (const auto report = control::release_report(held_report_, probe->instance)) {
+      accept_report(*report);
+      return;
+    }
+    if (backend_state_.availability == control::backend_availability::leaving) {
       return;
     }
     control::apply_healthy_probe(backend_state_, probe->instance, probe->slots,
@@ -475,6 +512,15 @@
     publish_backend();
   }
 
+  void apply_leaving_probe(const std::string& instance) {
+    if (control::apply_leaving_probe(backend_state_, held_report_, instance)) {
+      write_event(
+          log_level::info, "backend", "health check states that the server is leaving",
+          {{"instance", instance}, {"start_ms", std::to_string(backend_state_.report.start_ms)}});
+      publish_backend();
+    }
+  }
+
   bool is_ready() const { return version_in_force_ != 0 && !stopping_since_; }
 
   void stop() {
@@ -525,6 +571,7 @@
   std::unique_ptr<control::replicated_tables> tables_;
   support::time_point next_replica_choice_{};
   control::backend_state backend_state_;
+  control::held_report held_report_;
   std::uint64_t version_in_force_ = 0;
   board::generation_lag generation_lag_;
   bool recovered_row_applied_ = false;
--- a/unittests/control/backend_state_test.cpp
+++ b/unittests/control/backend_state_test.cpp
@@ -118,3 +118,92 @@
   CHECK(state.report.start_ms == 0);
   CHECK(state.report.slots == 12);
 }
+
+// DRAIN: a new process took a delayed report of a server whose departure its predecessor had
+// acknowledged for that of a serving one.
+TEST_CASE("a report is held back until it is confirmed if an earlier process may know more") {
+  backend_state state;
+  held_report held;
+  const auto first = report("a", 5, 7);
+  REQUIRE(hold_report(held, state, first, true));
+
+  SECTION("a health check that states that the server leaves is final for its delayed reports") {
+    CHECK(apply_leaving_probe(state, held, "a"));
+    CHECK(state.report.start_ms == 5);
+    CHECK_FALSE(held.report.has_value());
+    const auto late = report("a", 5, 6);
+    CHECK_FALSE(hold_report(held, state, late, true));
+    apply_report(state, late, start);
+    CHECK_FALSE(is_serving(state));
+  }
+  SECTION("a healthy health check of the same instance confirms it") {
+    CHECK_FALSE(release_report(held, "b").has_value());
+    CHECK(release_report(held, "a") == first);
+    CHECK_FALSE(held.report.has_value());
+  }
+  SECTION("so does a later report, but not an earlier one") {
+    CHECK(hold_report(held, state, report("a", 5, 6), true));
+    CHECK(hold_report(held, state, first, true));
+    CHECK_FALSE(hold_report(held, state, report("a", 5, 8), true));
+    CHECK_FALSE(held.report.has_value());
+  }
+  SECTION("an earlier instance does not replace the one that is held") {
+    CHECK(hold_report(held, state, report("z", 4, 90), true));
+    CHECK(held.report == first);
+    CHECK(hold_report(held, state, report("b", 9, 1), true));
+    CHECK(held.report->instance == "b");
+  }
+  SECTION("a server that drains is believed at once") {
+    CHECK_FALSE(hold_report(held, state, report("a", 5, 8, true), true));
+    CHECK_FALSE(held.report.has_value());
+  }
+}
+
+TEST_CASE("a report is applied at once if no earlier process can know more") {
+  backend_state state;
+  held_report held;
+  CHECK_FALSE(hold_report(held, state, report("a", 5, 1), false));
+  apply_report(state, report("a", 5, 1), start);
+  CHECK_FALSE(hold_report(held, state, report("a", 5, 2), true));
+  CHECK_FALSE(hold_report(held, state, report("b", 9, 1), true));
+}
+
+TEST_CASE("a departure at an unknown time of the server's clock holds its reports back") {
+  backend_state state;
+  held_report held;
+  REQUIRE(apply_departure(state, "a", std::nullopt));
+  const auto late = report("a", 5, 7);
+  REQUIRE(hold_report(held, state, late, false));
+  SECTION("a server that has started again under its identifier serves") {
+    REQUIRE(release_report(held, "a") == late);
+    CHECK(apply_report(state, late, start) == report_effect::new_instance);
+    CHECK(is_serving(state));
+  }
+  SECTION("one that is still leaving does not, whatever it reports") {
+    CHECK_FALSE(apply_leaving_probe(state, held, "a"));
+    CHECK_FALSE(hold_report(held, state, late, false));
+    CHECK(apply_report(state, late, start) == report_effect::none);
+    CHECK_FALSE(is_serving(state));
+  }
+}
+
+// A deregistration that overtakes the first report of its instance.
+TEST_CASE("the departure of a later instance is final for its delayed reports") {
+  backend_state state;
+  apply_report(state, report("a", 5, 70), start);
+  CHECK(apply_departure(state, "b", 9));
+  CHECK_FALSE(is_serving(state));
+  CHECK(apply_report(state, report("b", 9, 1), start) == report_effect::none);
+  CHECK(apply_report(state, report("a", 5, 71), start) == report_effect::stale);
+  CHECK_FALSE(is_serving(state));
+}
+
+TEST_CASE("a server without a known start that states its leaving is not restored by its row") {
+  backend_state state;
+  held_report held;
+  CHECK_FALSE(apply_stored_state(state, "a", 5, false));
+  CHECK(apply_leaving_probe(state, held, "a"));
+  CHECK(state.report.start_ms == 5);
+  apply_report(state, report("a", 5, 7), start);
+  CHECK_FALSE(is_serving(state));
+}
