Let copies of the tables know their age, and refuse reads of outdated ones

Cause: a copy counted as up to date until a call of its reader failed. The reader's poll waits for 4 s without an answer when nothing changes, and TCP keep-alive finds the connection dead only after 3 s; until then it told others that nothing was new. Ruled out: a follower that waits for a silent replica, since the replicas answered; a follower that is late to read the store itself, since it did so some ms after the first refusal.

- Each answer of the store confirms the copy.
A copy that was not confirmed for three quarters of the time in which a configuration has to be in force is not given away; reads that wait end at that moment, and their senders read the store.
- A reader's poll of the configuration ends after 11/20 of that time, so that a healthy copy is confirmed in time.
- The copy of the directory counts as up to date while either table is confirmed.
- Answers between daemons state the age; older builds ignore it, and without it the age counts as 0.
- The metric acaciasill_configuration_age_seconds.

It works because the longest time without a confirmation and a read of the store together are below the bound.

--- a/include/acaciasill/control/directory.h
+++ b/include/acaciasill/control/directory.h
@@ -78,9 +78,10 @@
 // thread only.
 class directory {
 public:
-  // local_address is the key of the local daemon's row.
+  // local_address is the key of the local daemon's row. The age limit is that of the replica.
   directory(std::string local_address, follower_settings settings, const table_store& store,
-            delayed_call run_later, std::uint64_t seed, directory_callbacks callbacks);
+            delayed_call run_later, std::uint64_t seed, directory_callbacks callbacks,
+            copy_age_limit age_limit = {});
 
   void start();
 
--- a/include/acaciasill/control/replica_reads.h
+++ b/include/acaciasill/control/replica_reads.h
@@ -69,6 +69,10 @@
   // Makes the next read of all rows go to the store.
   void bypass_replicas_once() { bypasses_replicas_ = true; }
 
+  // Time since the store last confirmed the copy of the table that these reads maintain; nullopt if
+  // it has not yet.
+  std::optional<support::duration> age_of(const std::string& table) const;
+
   // Numbers of reads from the store and from replicas.
   std::uint64_t direct_read_count() const { return direct_read_count_; }
   std::uint64_t replica_read_count() const { return replica_read_count_; }
@@ -81,6 +85,7 @@
   void read_direct(const std::shared_ptr<attempt>& current);
   void handle_replica_result(const std::shared_ptr<attempt>& current, const std::string& address,
                              store_result result);
+  void record_confirmed(const std::string& table, support::duration age);
 
   table_store direct_;
   replica_read read_replica_;
@@ -94,6 +99,8 @@
   std::map<std::string, support::time_point> unavailable_until_;
   std::map<std::string, support::time_point> stale_until_;
   support::time_point next_direct_{};
+  // Latest times at which the store confirmed the copies, by table.
+  std::map<std::string, support::time_point> confirmed_at_;
   // Number of reads from replicas, by table.
   std::map<std::string, std::size_t> next_replica_;
   bool bypasses_replicas_ = false;
--- a/include/acaciasill/control/replicated_tables.h
+++ b/include/acaciasill/control/replicated_tables.h
@@ -23,10 +23,10 @@
   std::string data_centre;
   // Table with the configuration of the operator.
   std::string configuration_table;
-  // Longest waits of reads of changes from the store. Other daemons depend on the readers, so that
-  // a reader has to notice a lost answer soon.
+  // Longest wait of reads of changes of the directory from the store.
   support::milliseconds directory_wait{10000};
-  support::milliseconds configuration_wait{4000};
+  // Time within which a configuration has to be in force at every daemon that reaches the store.
+  support::milliseconds configuration_bound{2000};
   // Pauses after an answer of the store with changes.
   support::milliseconds directory_change_pause{1000};
   support::milliseconds configuration_change_pause{200};
@@ -90,11 +90,17 @@
 
   const replica_reads& reads() const { return reads_; }
 
+  // Time since the store confirmed the copy of the configuration; nullopt if it has not yet.
+  std::optional<support::duration> configuration_age() const {
+    return reads_.age_of(settings_.configuration_table);
+  }
+
 private:
   void handle_members_changed();
   void start_configuration();
   void read_replica(const std::string& address, const table_read& read, store_callback done);
   bool is_alone_in_data_centre() const;
+  std::optional<support::duration> directory_age() const;
   void start_configuration_after(support::duration delay);
 
   replicated_tables_settings settings_;
--- a/include/acaciasill/control/table_store.h
+++ b/include/acaciasill/control/table_store.h
@@ -48,6 +48,8 @@
   std::uint64_t era = 0;
   // Whether the result is the copy of another daemon, which may be older than the store's state.
   bool from_replica = false;
+  // Time since the store confirmed that copy; 0 if the replica does not state it.
+  support::duration age{0};
 
   bool operator==(const store_result&) const = default;
 };
--- a/include/acaciasill/daemon/directory_daemon.h
+++ b/include/acaciasill/daemon/directory_daemon.h
@@ -46,6 +46,8 @@
   support::milliseconds stop_time{6000};
   // Time within which the platform's callers detect that the daemon is stopping.
   support::milliseconds caller_notice_time{2500};
+  // Time within which a configuration has to be in force.
+  support::milliseconds configuration_bound{2000};
   // Time without a report or a response after which the local backend server is considered lost.
   support::milliseconds backend_timeout{6000};
 
--- a/lib/control/directory.cpp
+++ b/lib/control/directory.cpp
@@ -91,7 +91,7 @@
 
 directory::directory(std::string local_address, follower_settings settings,
                      const table_store& store, delayed_call run_later, std::uint64_t seed,
-                     directory_callbacks callbacks)
+                     directory_callbacks callbacks, copy_age_limit age_limit)
     : local_address_(std::move(local_address)), store_(store), run_later_(std::move(run_later)),
       random_(seed), callbacks_(std::move(callbacks)),
       follower_(std::move(settings), store, run_later_, seed + 1,
@@ -101,7 +101,7 @@
                    replica_.handle_updated();
                    callbacks_.on_contact_changed(reached, end);
                  }}),
-      replica_(follower_, run_later_) {}
+      replica_(follower_, run_later_, std::move(age_limit)) {}
 
 void directory::start() {
   follower_.start();
--- a/lib/control/replica_reads.cpp
+++ b/lib/control/replica_reads.cpp
@@ -94,6 +94,9 @@
   if (result.end == store_end::done || result.end == store_end::history_gone) {
     unavailable_until_.erase(address);
     stale_until_.erase(address);
+    if (result.end == store_end::done) {
+      record_confirmed(current->request.table, result.age);
+    }
     current->done(std::move(result));
     return;
   }
@@ -119,6 +122,9 @@
         result.end != store_end::history_gone) {
       next_direct_ = now_() + support::jittered(settings_.direct_interval, random_);
     }
+    if (!alive.expired() && result.end == store_end::done) {
+      record_confirmed(current->request.table, support::duration(0));
+    }
     current->done(std::move(result));
   };
   if (current->request.after) {
@@ -129,4 +135,14 @@
   }
 }
 
+std::optional<support::duration> replica_reads::age_of(const std::string& table) const {
+  const auto found = confirmed_at_.find(table);
+  return found == confirmed_at_.end() ? std::nullopt : std::optional(now_() - found->second);
+}
+
+void replica_reads::record_confirmed(const std::string& table, support::duration age) {
+  auto& confirmed = confirmed_at_.try_emplace(table).first->second;
+  confirmed = std::max(confirmed, now_() - age);
+}
+
 } // namespace acaciasill::control
--- a/lib/control/replicated_tables.cpp
+++ b/lib/control/replicated_tables.cpp
@@ -20,11 +20,18 @@
 follower_settings configuration_follower(const replicated_tables_settings& settings) {
   follower_settings result;
   result.table = settings.configuration_table;
-  result.wait = settings.configuration_wait;
+  // Each answer confirms the copy, so that it is up to date for that long.
+  result.wait = settings.configuration_bound * 11 / 20;
   result.change_pause = settings.configuration_change_pause;
   return result;
 }
 
+// Greatest age of a copy that is given to other daemons. The rest of the bound is left for their
+// own read of the store, also if both readers of a data centre lose the store without noticing.
+support::duration max_copy_age(const replicated_tables_settings& settings) {
+  return settings.configuration_bound * 3 / 4;
+}
+
 } // namespace
 
 replicated_tables::replicated_tables(const replicated_tables_settings& settings,
@@ -43,7 +50,8 @@
                environment_.run_later, random_(),
                {[this] { handle_members_changed(); }, callbacks_.members.on_restored,
                 callbacks_.members.on_contact_changed, callbacks_.members.on_unreadable,
-                callbacks_.members.on_written}),
+                callbacks_.members.on_written},
+               {[this] { return directory_age(); }, max_copy_age(settings_)}),
       configuration_(configuration_follower(settings_), store_, environment_.run_later, random_(),
                      {[this](const stored_row& row) {
                         if (row.removed) {
@@ -57,7 +65,8 @@
                         configuration_replica_.handle_updated();
                         callbacks_.on_configuration_contact(reached, end);
                       }}),
-      configuration_replica_(configuration_, environment_.run_later) {}
+      configuration_replica_(configuration_, environment_.run_later,
+                             {[this] { return configuration_age(); }, max_copy_age(settings_)}) {}
 
 replicated_tables::~replicated_tables() = default;
 
@@ -137,6 +146,15 @@
   return table == settings_.configuration_table ? &configuration_replica_ : nullptr;
 }
 
+// Reads of the directory wait longer than a copy may be out of touch with the store, but those of
+// the configuration show in between whether the store is in reach. Until the configuration has been
+// read, no age is known.
+std::optional<support::duration> replicated_tables::directory_age() const {
+  const auto latest_poll = configuration_age();
+  const auto own_age = reads_.age_of(directory_table);
+  return latest_poll && own_age ? std::min(latest_poll, own_age) : std::nullopt;
+}
+
 void replicated_tables::read_replica(const std::string& address, const table_read& read,
                                      store_callback done) {
   const auto entry = members_.entries().find(address);
--- a/lib/control/table_replica.cpp
+++ b/lib/control/table_replica.cpp
@@ -5,8 +5,9 @@
 
 namespace acaciasill::control {
 
-table_replica::table_replica(const table_follower& follower, delayed_call run_later)
-    : follower_(follower), run_later_(std::move(run_later)) {}
+table_replica::table_replica(const table_follower& follower, delayed_call run_later,
+                             copy_age_limit age_limit)
+    : follower_(follower), run_later_(std::move(run_later)), age_limit_(std::move(age_limit)) {}
 
 table_replica::~table_replica() = default;
 
@@ -21,11 +22,17 @@
   }
   const auto number = ++last_number_;
   waiting_.push_back({number, after, std::move(done)});
-  run_later_(wait, [this, number, alive = std::weak_ptr(alive_)] {
-    if (!alive.expired()) {
-      expire(number);
-    }
-  });
+  // A copy that becomes too old meanwhile is reported at that time.
+  constexpr support::milliseconds excess{1};
+  const auto copy_age = age();
+  const support::duration until_outdated =
+      copy_age ? age_limit_.max_age - *copy_age + excess : support::duration(wait);
+  run_later_(std::min<support::duration>(wait, until_outdated),
+             [this, number, alive = std::weak_ptr(alive_)] {
+               if (!alive.expired()) {
+                 expire(number);
+               }
+             });
 }
 
 void table_replica::handle_updated() {
@@ -40,12 +47,19 @@
   }
 }
 
+std::optional<support::duration> table_replica::age() const {
+  return age_limit_.age ? age_limit_.age() : std::nullopt;
+}
+
 bool table_replica::can_answer() const {
-  return follower_.is_current() && follower_.is_reachable();
+  const auto copy_age = age();
+  return follower_.is_current() && follower_.is_reachable() &&
+         (!copy_age || *copy_age <= age_limit_.max_age);
 }
 
 store_result table_replica::make_result(store_end end) const {
-  return {end, {}, follower_.version(), follower_.era(), true};
+  const auto copy_age = age().value_or(support::duration(0));
+  return {end, {}, follower_.version(), follower_.era(), true, copy_age};
 }
 
 store_result table_replica::rows_after(std::uint64_t version) const {
--- a/lib/daemon/directory_daemon.cpp
+++ b/lib/daemon/directory_daemon.cpp
@@ -160,6 +160,7 @@
     tables.local_address = plane_.call_address();
     tables.data_centre = settings_.data_centre;
     tables.configuration_table = adapter_.configuration_table;
+    tables.configuration_bound = settings_.configuration_bound;
     tables_ = std::make_unique<control::replicated_tables>(
         tables,
         control::replicated_tables_environment{
--- a/lib/daemon/process_metrics.cpp
+++ b/lib/daemon/process_metrics.cpp
@@ -1,5 +1,7 @@
 #include "acaciasill/daemon/process_metrics.h"
 
+#include <chrono>
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -62,6 +64,7 @@
 collect_table_metrics(const control::replicated_tables& tables) {
   const auto number = [](auto value) { return static_cast<double>(value); };
   const auto& reads = tables.reads();
+  const auto age = tables.configuration_age();
   return {
       gauge("acaciasill_directory_version", "version of the directory",
             number(tables.members().version())),
@@ -71,6 +74,10 @@
             number(tables.members().era())),
       gauge("acaciasill_table_replicas", "daemons whose copies are read, 0 if the store is read",
             number(reads.replicas().size())),
+      gauge("acaciasill_configuration_age_seconds",
+            "time since the store confirmed the copy of the configuration; +Inf if it has not yet",
+            age ? std::chrono::duration<double>(*age).count()
+                : std::numeric_limits<double>::infinity()),
       counter("acaciasill_store_reads_total", "reads from the store",
               number(reads.direct_read_count())),
       counter("acaciasill_replica_reads_total", "reads from the copies of other daemons",
--- a/lib/wire/table_answer.cpp
+++ b/lib/wire/table_answer.cpp
@@ -25,6 +25,9 @@
   return {bytes.begin(), bytes.end()};
 }
 
+// Longest age of a copy that an answer may state.
+constexpr std::int64_t max_stated_age_ms = 3600000;
+
 // Nesting of an answer: the answer, its rows, and each row.
 constexpr int max_depth = 3;
 
@@ -65,7 +68,9 @@
                                 row.removed, row.unreadable}));
   }
   std::string text;
-  json::to_msgpack(json::array({result.era, result.version, std::move(rows)}), text);
+  // Builds that know no age ignore it.
+  const auto age_ms = static_cast<std::uint64_t>(support::whole_milliseconds(result.age));
+  json::to_msgpack(json::array({result.era, result.version, std::move(rows), age_ms}), text);
   return text;
 }
 
@@ -86,6 +91,10 @@
                              support::read_unsigned<std::uint64_t>(row.at(2)),
                              row.at(3).get<bool>(), row.at(4).get<bool>()});
     }
+    if (constexpr std::size_t age_index = 3; parsed.size() > age_index) {
+      result.age =
+          support::milliseconds(support::read_unsigned(parsed.at(age_index), max_stated_age_ms));
+    }
     return result;
   } catch (const json::exception& error) {
     return support::make_error(support::result_code::frame_corrupt, error.what());
--- a/unittests/control/replicated_tables_test.cpp
+++ b/unittests/control/replicated_tables_test.cpp
@@ -23,6 +23,12 @@
 // Required times until a change is known to every daemon.
 constexpr milliseconds longest_spread{2500};
 constexpr milliseconds median_spread{1000};
+// Required time until a daemon that reaches the store has a configuration in force: shorter for the
+// small deployments.
+milliseconds configuration_bound(std::size_t daemons) {
+  constexpr std::size_t small_deployment = 60;
+  return daemons < small_deployment ? milliseconds(2000) : milliseconds(3000);
+}
 // Required number of calls to the store on a calm day of 40 s, start included: 1,200 for 195
 // daemons, and 6 for each daemon of a larger system.
 constexpr std::uint64_t max_calls = 1200;
@@ -176,6 +182,7 @@
     settings.local_address = owner.address;
     settings.data_centre = owner.data_centre;
     settings.configuration_table = configuration_table;
+    settings.configuration_bound = configuration_bound(daemons.size());
     return std::make_unique<replicated_tables>(
         settings,
         replicated_tables_environment{store.client(owner.address),
@@ -317,6 +324,52 @@
   CHECK(times.back() <= longest_spread);
 }
 
+// CONFIG: the copies of readers did not know their age, so that daemons whose readers had both lost
+// the store kept an old configuration until TCP keep-alive ended the readers' connections.
+TEST_CASE("readers that have all lost the store without noticing delay no configuration") {
+  const auto count = sizes();
+  modelled_system system(count);
+  system.start();
+  system.run(seconds(8));
+  // The moment of the loss, relative to the reads of the readers.
+  system.run(milliseconds(GENERATE(0, 130, 470, 810)));
+  const auto lost = system.readers();
+  REQUIRE(lost.size() >= data_centre_count);
+  for (auto* reader : lost) {
+    system.store.cut(reader->address, true);
+    reader->is_without_store = true;
+  }
+  system.run(milliseconds(100));
+  const auto times = system.publish(2);
+  REQUIRE(times.size() == count - lost.size());
+  CHECK(times.back() <= configuration_bound(count));
+  for (auto* reader : lost) {
+    system.store.cut(reader->address, false);
+    reader->is_without_store = false;
+  }
+  system.run(seconds(6));
+  CHECK(system.publish(3).back() <= configuration_bound(count));
+  CHECK(system.readers().size() <= 2 * data_centre_count);
+}
+
+TEST_CASE("readers that have all lost the store delay no entry of the directory") {
+  modelled_system system(30);
+  system.start();
+  system.run(seconds(8));
+  const auto lost = system.readers();
+  for (auto* reader : lost) {
+    system.store.cut(reader->address, true);
+    reader->is_without_store = true;
+  }
+  const auto connected = std::find_if(system.daemons.begin(), system.daemons.end(),
+                                      [](const auto& each) { return !each->is_without_store; });
+  REQUIRE(connected != system.daemons.end());
+  modelled_system::set_state(**connected, serving_state::leaving);
+  system.run(longest_spread);
+  CHECK(system.count_knowing((*connected)->address, serving_state::leaving) ==
+        system.daemons.size() - lost.size());
+}
+
 TEST_CASE("a reader that is paused or cut off delays no change beyond the bound") {
   const auto count = sizes();
   modelled_system system(count);
--- a/unittests/platform/settings_test.cpp
+++ b/unittests/platform/settings_test.cpp
@@ -43,6 +43,13 @@
   }
 }
 
+TEST_CASE("the time in which a configuration has to be in force is a setting") {
+  using acaciasill::support::milliseconds;
+  CHECK(read_settings("s", "").daemon.configuration_bound == milliseconds(2000));
+  CHECK(read_settings("s", "configuration_bound_s: 2.5\n").daemon.configuration_bound ==
+        milliseconds(2500));
+}
+
 TEST_CASE("incomplete answers may occupy a quarter of the process's memory") {
   const auto limit = [](const std::string& lines) {
     return acaciasill::daemon::max_buffered_bytes(read_settings("s", lines).daemon);
--- a/unittests/wire/table_answer_test.cpp
+++ b/unittests/wire/table_answer_test.cpp
@@ -66,3 +66,16 @@
   REQUIRE(decoded.ok());
   CHECK(*decoded == result);
 }
+
+TEST_CASE("an answer states the age of the copy, and need not", "[wire]") {
+  control::store_result result;
+  result.end = control::store_end::done;
+  result.version = 2;
+  result.age = support::milliseconds(1234);
+  CHECK(wire::decode_table_answer(wire::encode_table_answer(result))->age == result.age);
+  // As builds without an age encode it.
+  const auto without_age =
+      wire::decode_table_answer(std::string(1, array_of_three) + "\x01\x02\x90");
+  REQUIRE(without_age.ok());
+  CHECK(without_age->age == support::duration(0));
+}
