Order departures only against a known start, and keep a held report beside stale ones

After a health check has found an instance, whose start is then unknown, a delayed departure of the instance before it counted as that of a later one and took the serving one out: callers would get 503 until the next report. And a stale report dropped the report that was held, so that its server came back one report later.

Now a departure counts as later only than a known start, and stale reports change nothing.

--- a/lib/control/backend_state.cpp
+++ b/lib/control/backend_state.cpp
@@ -77,8 +77,10 @@
       state.availability == backend_availability::unknown && may_have_predecessor;
   const bool is_confirmed = held.report && is_same_instance(*held.report, report) &&
                             report.sequence > held.report->sequence;
-  if (report.draining || is_confirmed || is_stale(state, report) ||
-      !(is_unknown || departure_is_undated)) {
+  if (is_stale(state, report)) {
+    return false;
+  }
+  if (report.draining || is_confirmed || !(is_unknown || departure_is_undated)) {
     held.report.reset();
     return false;
   }
@@ -102,7 +104,8 @@
 bool apply_departure(backend_state& state, const std::string& instance,
                      std::optional<std::uint64_t> start_ms) {
   const bool is_known = !state.report.instance.empty();
-  const bool is_later = start_ms.value_or(0) > state.report.start_ms;
+  // An instance that a health check found has no known start, so that none is known to be later.
+  const bool is_later = state.report.start_ms != 0 && start_ms.value_or(0) > state.report.start_ms;
   if (is_known && !is_later &&
       (state.report.instance != instance ||
        start_ms.value_or(state.report.start_ms) < state.report.start_ms)) {
--- a/unittests/control/backend_state_test.cpp
+++ b/unittests/control/backend_state_test.cpp
@@ -198,6 +198,25 @@
   CHECK_FALSE(is_serving(state));
 }
 
+TEST_CASE("a delayed departure does not affect an instance that a health check found since") {
+  backend_state state;
+  apply_report(state, report("a", 5, 70), start);
+  state.availability = backend_availability::lost;
+  apply_healthy_probe(state, "b", 36, start);
+  CHECK_FALSE(apply_departure(state, "a", 5));
+  CHECK(is_serving(state));
+  CHECK(state.report.instance == "b");
+}
+
+TEST_CASE("a report of an earlier instance does not drop the one that is held") {
+  backend_state state;
+  held_report held;
+  apply_stored_state(state, "a", 5, false);
+  REQUIRE(hold_report(held, state, report("b", 9, 1), true));
+  CHECK_FALSE(hold_report(held, state, report("z", 4, 90), true));
+  CHECK(held.report.has_value());
+}
+
 TEST_CASE("a server without a known start that states its leaving is not restored by its row") {
   backend_state state;
   held_report held;
