Ask further data centres for permits if the first one does not answer

A daemon whose data centre has no ready server asked one other data centre only. If that one is cut off, it used its isolated part although others answer, so that nearly all requests of its organisations would be refused. Each coordinator grants its own part, so that the limit holds as before. Test: "a daemon whose data centre serves nothing asks all others".

--- a/include/acaciasill/decide/permits.h
+++ b/include/acaciasill/decide/permits.h
@@ -152,7 +152,7 @@
                                                std::uint64_t organisation_hash);
 
 // Returns the addresses that a daemon asks for an organisation's permits, best first: those of its
-// own data centre, or of another one if no daemon of its own serves.
+// own data centre, or those of the others if no daemon of its own serves.
 std::vector<std::string> addresses_to_ask(const coordinator_view& view,
                                           std::uint64_t organisation_hash);
 
--- a/lib/decide/permits.cpp
+++ b/lib/decide/permits.cpp
@@ -205,11 +205,19 @@
   if (view.groups.empty()) {
     return addresses;
   }
+  const auto append = [&](const coordinator_group& group, std::size_t count) {
+    auto chosen = choose_coordinators(group, organisation_hash);
+    chosen.resize(std::min(chosen.size(), count));
+    for (const auto index : chosen) {
+      addresses.push_back(group.addresses[index]);
+    }
+  };
+  append(view.groups.front(), coordinator_candidates);
+  // Spreads the organisations over the other data centres.
   const auto others = view.groups.size() - 1;
-  const bool is_served = view.groups.front().daemons > 0 || others == 0;
-  const auto& group = view.groups[is_served ? 0 : 1 + organisation_hash % others];
-  for (const auto index : choose_coordinators(group, organisation_hash)) {
-    addresses.push_back(group.addresses[index]);
+  for (std::size_t offset = 0; view.groups.front().daemons == 0 && offset < others; ++offset) {
+    append(view.groups[1 + (organisation_hash + offset) % others],
+           offset == 0 ? coordinator_candidates : 1);
   }
   return addresses;
 }
--- a/unittests/daemon/permit_service_test.cpp
+++ b/unittests/daemon/permit_service_test.cpp
@@ -1,3 +1,6 @@
+#include <set>
+#include <string>
+
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
@@ -115,6 +118,22 @@
   CHECK_FALSE(lonely.acquire().is_granted);
 }
 
+TEST_CASE("a daemon whose data centre serves nothing asks all others, one of them first") {
+  decide::coordinator_view view = view_of({}, {"10.0.0.2:1", "10.0.0.3:1"});
+  view.groups.push_back(decide::make_group("dc-2", {"10.0.0.4:1"}));
+  view.daemons = 3;
+  std::set<std::string> first;
+  for (std::uint64_t organisation = 0; organisation < 20; ++organisation) {
+    const auto addresses = decide::addresses_to_ask(view, organisation);
+    REQUIRE(addresses.size() >= 2);
+    first.insert(addresses.front());
+  }
+  CHECK(first.count("10.0.0.4:1") == 1);
+  CHECK(first.size() > 1);
+  view.groups.front() = decide::make_group("dc-0", {"10.0.0.1:1"});
+  CHECK(decide::addresses_to_ask(view, 7) == std::vector<std::string>{"10.0.0.1:1"});
+}
+
 TEST_CASE("daemons that reach nobody share a small part of the limit") {
   const auto part_of_each = [](decide::coordinator_view view, std::string_view address) {
     view.known_daemons = 10;
