--- a/unittests/control/replicated_tables_test.cpp
+++ b/unittests/control/replicated_tables_test.cpp
@@ -335,9 +335,12 @@
   system.run(milliseconds(GENERATE(0, 130, 470, 810)));
   const auto lost = system.readers();
   REQUIRE(lost.size() >= data_centre_count);
+  // They may be cut off from their followers as well.
+  const bool is_cut_off = GENERATE(false, true);
   for (auto* reader : lost) {
     system.store.cut(reader->address, true);
     reader->is_without_store = true;
+    reader->is_cut_off = is_cut_off;
   }
   system.run(milliseconds(100));
   const auto times = system.publish(2);
@@ -346,6 +349,7 @@
   for (auto* reader : lost) {
     system.store.cut(reader->address, false);
     reader->is_without_store = false;
+    reader->is_cut_off = false;
   }
   system.run(seconds(6));
   CHECK(system.publish(3).back() <= configuration_bound(count));
