Test on the whole path that a long name and an invalid route leave the rest in force

On the code before the new route is answered 404 and the configuration is rejected; it is served now, and the invalid route is answered 503 instead of falling to the shorter prefix.

--- a/unittests/platform/end_to_end_test.cpp
+++ b/unittests/platform/end_to_end_test.cpp
@@ -121,3 +121,28 @@
     CHECK(cluster.back.closed_connections() > closed);
   }
 }
+
+// CONFIG: a name that was too long when encoded, or one invalid route, kept every later
+// configuration out of force.
+TEST_CASE("a configuration with a long name and an invalid route is in force") {
+  test_cluster cluster;
+  cluster.report("ready", 1);
+  REQUIRE(cluster.call_until("/a/x", 200).status == 200);
+  auto text = configuration("00000002", "/b/");
+  const std::string first_route = R"("r-1":)";
+  const auto add_route = [&](const std::string& name, const std::string& prefix,
+                             const std::string& service) {
+    text.insert(text.find(first_route),
+                "\"" + name + R"(":{"host":"h.example","prefix":")" + prefix +
+                    R"(","kind":"idempotent","timeout_s":2,"service":")" + service + R"("},)");
+  };
+  add_route("BIKE_RESERVATION_WITH_DEPOSIT", "/long/", "nox78a");
+  add_route("r-bad", "/a/bad/", "nowhere");
+  cluster.store.put("op", "config", text);
+  CHECK(cluster.call_until("/long/x", 200).status == 200);
+  CHECK(cluster.call("/a/x").status == 200);
+  // The requests of the invalid route do not fall to the shorter prefix.
+  const auto executed_before = cluster.back.executed_requests().size();
+  CHECK(cluster.call("/a/bad/x").status == 503);
+  CHECK(cluster.back.executed_requests().size() == executed_before);
+}
